Lay out the workspace, core messages and links

Cause: nothing exists yet; every part needs the same errors, messages, links. Ruled out: pynng Pair1 in polyamorous mode, which drops messages when a peer's send queue is full; Req0 with resends, which repeats requests by itself.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Set-up, checks and demonstration of endivetally. PYTHON names the interpreter.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+LIBS := core config table policy entry agent standins
+EDITABLE := $(foreach lib,$(LIBS),-e libs/endivetally-$(lib)) -e libs/endivetally
+
+.PHONY: setup demo test lint format types unit scenarios fuzz
+
+$(VENV)/.installed: pyproject.toml $(wildcard libs/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check hatchling==1.33.0 editables setuptools==84.2.1
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation $(EDITABLE) '.[dev]'
+	touch $@
+
+setup: $(VENV)/.installed
+
+demo: setup
+	$(BIN)/endivetally demo
+
+test: lint types unit scenarios
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 libs tests
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+types: setup
+	$(BIN)/mypy libs/*/src
+
+unit: setup
+	$(BIN)/python -m pytest
+
+scenarios: setup
+	$(BIN)/endivetally scenario run tests/scenarios/*.json
+
+fuzz: setup
+	$(BIN)/python -m pytest tests/fuzz -p no:randomly --hypothesis-profile=long
--- /dev/null
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -0,0 +1,50 @@
+"""Settings of the daemons."""
+
+import msgspec
+from endivetally_core.joining import Address
+from endivetally_core.messages import Identifier
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an entry.
+
+    :param listen: address of its HTTP server; port 0 takes a free one.
+    :param table: HTTP address of the platform's table service.
+    :param seeds: HTTP addresses of entries to ask when the table is down.
+    :param operator_token: secret of the operators' calls.
+    :param ready_file: written with the bound ``host:port`` once it listens.
+    :param allow_shaping: accept ``/internal/shaping`` (bench and scenarios).
+    """
+
+    name: Identifier
+    data_centre: Identifier
+    listen: Address
+    table: Address
+    operator_token: Identifier
+    seeds: tuple[Address, ...] = ()
+    ready_file: str = ''
+    allow_shaping: bool = False
+    log_level: str = 'INFO'
+    max_body_bytes: int = 8 * 1024 * 1024
+    key_retention_s: int = 900
+    drain_timeout_s: int = 60
+
+
+class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an agent; ``listen`` is for its target, on loopback.
+
+    :param rack: rack of the worker.
+    """
+
+    name: Identifier
+    data_centre: Identifier
+    rack: Identifier
+    listen: Address
+    table: Address
+    seeds: tuple[Address, ...] = ()
+    ready_file: str = ''
+    allow_shaping: bool = False
+    log_level: str = 'INFO'
+    result_retention_s: int = 900
+    result_memory_mb: int = 8
+    drain_timeout_s: int = 60
--- /dev/null
+++ b/libs/endivetally-config/src/endivetally_config/text.py
@@ -0,0 +1,105 @@
+"""Data of the operators' text: services, teams and objectives."""
+
+import enum
+
+import msgspec
+from endivetally_core.messages import Identifier
+
+
+class ServiceKind(enum.StrEnum):
+    """How often the work behind a request may run."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non-idempotent'
+    JOB = 'job'
+
+
+class Objective(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Service-level objective of a service.
+
+    :param availability: share of requests answered whole, between 0 and 1.
+    :param response_ms: a whole answer within this time is a good one.
+    """
+
+    availability: float = 0.999
+    response_ms: int = 2000
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One service of the text.
+
+    :param depends_on: names of the services that this one calls.
+    :param run_ms: declared run time of a task.
+    :param memory_mb: declared memory of a task.
+    :param deadline_ms: deadline of a request that names none.
+    :param priority: lower numbers are served first under overload, from 0.
+    """
+
+    name: Identifier
+    kind: ServiceKind
+    depends_on: tuple[Identifier, ...] = ()
+    run_ms: int = 500
+    memory_mb: int = 256
+    deadline_ms: int = 10_000
+    priority: int = 1
+    objective: Objective = Objective()
+
+
+class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A group of callers with a quota.
+
+    :param token: secret that its callers send as a bearer token.
+    :param tasks_per_s: task starts a second that the team may sustain.
+    :param weight: share under overload, relative to the other teams.
+    """
+
+    name: Identifier
+    token: Identifier
+    tasks_per_s: int = 1000
+    weight: int = 1
+
+
+class OperatorsText(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The single text that operators submit.
+
+    :param largest_worker_memory_mb: memory of the largest worker; a task that
+        declares more can never run.
+    """
+
+    services: tuple[Service, ...]
+    teams: tuple[Team, ...]
+    largest_worker_memory_mb: int = 32_768
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name, if there is one."""
+        for service in self.services:
+            if service.name == name:
+                return service
+        return None
+
+    def team(self, name: str) -> Team | None:
+        """Return the team of that name, if there is one."""
+        for team in self.teams:
+            if team.name == name:
+                return team
+        return None
+
+
+class VersionedText(msgspec.Struct, frozen=True):
+    """A text in force and its version, from 1 on; 0 means none yet."""
+
+    version: int
+    text: OperatorsText
+
+
+def encode_text(text: OperatorsText) -> bytes:
+    """Encode a text as canonical JSON."""
+    return msgspec.json.encode(text, order='deterministic')
+
+
+def decode_text(encoded: bytes) -> OperatorsText:
+    """Decode a text that was checked before.
+
+    :raises msgspec.DecodeError: when it does not decode.
+    """
+    return msgspec.json.decode(encoded, type=OperatorsText)
--- /dev/null
+++ b/libs/endivetally-core/src/endivetally_core/__init__.py
@@ -0,0 +1,1 @@
+"""Part of endivetally; see its modules."""
--- /dev/null
+++ b/libs/endivetally-core/src/endivetally_core/joining.py
@@ -0,0 +1,89 @@
+"""Bodies of the HTTP calls by which processes introduce themselves.
+
+A joining process posts a `JoinRequest` to ``/internal/join`` of an entry. The
+entry opens a link listener for it and answers with its address.
+"""
+
+import msgspec
+
+from endivetally_core.messages import Identifier
+
+
+class Address(msgspec.Struct, frozen=True):
+    """Where the HTTP server of a process listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Host and port joined for a URL."""
+        return f'{self.host}:{self.port}'
+
+
+class EntryIdentity(msgspec.Struct, frozen=True):
+    """An entry as its peers know it.
+
+    :param incarnation: unique for each start of the process.
+    """
+
+    name: Identifier
+    incarnation: Identifier
+    data_centre: Identifier
+    address: Address
+
+
+class AgentIdentity(msgspec.Struct, frozen=True):
+    """An agent and the target it stands beside.
+
+    :param slots: tasks that the target runs at once.
+    :param connections: connections that the target accepts.
+    :param memory_mb: memory of the worker.
+    """
+
+    name: Identifier
+    incarnation: Identifier
+    data_centre: Identifier
+    rack: Identifier
+    service: Identifier
+    slots: int
+    connections: int
+    memory_mb: int
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """Introduction of a process; exactly one identity is set."""
+
+    agent: AgentIdentity | None = None
+    entry: EntryIdentity | None = None
+
+
+class JoinAnswer(msgspec.Struct, frozen=True):
+    """What an entry answers to an introduction.
+
+    :param link: address to dial, as ``tcp://host:port``.
+    :param entry: the answering entry.
+    :param entries: all entries it knows, itself included.
+    :param fenced: incarnations of entries that are fenced.
+    """
+
+    link: str
+    entry: EntryIdentity
+    entries: list[EntryIdentity]
+    fenced: list[Identifier]
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a target posts to its agent's ``/announce`` at least every second.
+
+    :param port: loopback port of the target's HTTP server.
+    :param leaving: the target takes no new work.
+    :param memory_mb: memory of the worker; ``used_memory_mb`` is in use.
+    """
+
+    service: Identifier
+    port: int
+    slots: int
+    connections: int
+    memory_mb: int
+    used_memory_mb: int = 0
+    leaving: bool = False
--- /dev/null
+++ b/libs/endivetally-core/src/endivetally_core/links.py
@@ -0,0 +1,240 @@
+"""Links: ordered, coalescing message channels between two processes.
+
+A link lives as long as one connection. Messages that are posted in one turn of
+the event loop leave in one frame. When the connection ends, both sides close
+the link and the joining side introduces itself again; messages in flight are
+lost and never sent anew by the link itself.
+"""
+
+import asyncio
+import contextlib
+from abc import ABC
+from abc import abstractmethod
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+import pynng
+
+from endivetally_core.errors import LinkClosed
+from endivetally_core.messages import MAX_FRAME_BYTES
+from endivetally_core.messages import MAX_MESSAGES_PER_FRAME
+from endivetally_core.messages import AnyMessage
+from endivetally_core.messages import Frame
+from endivetally_core.messages import decode_frame
+from endivetally_core.messages import encode_frame
+from endivetally_core.shaping import IMMEDIATE
+from endivetally_core.shaping import NoShaping
+from endivetally_core.shaping import Shaper
+
+SOCKET_BUFFER_FRAMES: Final = 128
+DIAL_TIMEOUT_MS: Final = 2000
+ACCEPT_TIMEOUT_S: Final = 5
+
+
+class LinkCounters:
+    """Counts of one process over all its links."""
+
+    def __init__(self) -> None:
+        self.messages: Counter[str] = Counter()
+        self.frames = 0
+        self.bytes = 0
+        self.malformed = 0
+
+
+class Link(ABC):
+    """A channel to one peer."""
+
+    @property
+    @abstractmethod
+    def closed(self) -> bool:
+        """Whether the link has ended."""
+
+    @abstractmethod
+    def post(self, message: AnyMessage) -> None:
+        """Queue a message for the next frame; does nothing on a closed link."""
+
+    @abstractmethod
+    async def receive(self) -> Frame:
+        """Wait for the next frame.
+
+        :raises LinkClosed: when the connection has ended.
+        :raises MalformedMessage: when a frame does not decode; the link lives.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """End the link at once; queued messages are dropped."""
+
+    @abstractmethod
+    async def flush(self) -> None:
+        """Wait until every queued message has been handed to the connection."""
+
+
+class NngLink(Link):
+    """A link over a ``pynng`` pair socket.
+
+    :param socket: an open pair socket; the link owns it from now on.
+    :param peer: process name of the peer, for shaping and logs.
+    :param data_centre: data centre of the peer.
+    :param version: returns the version of the text in force here.
+    :param counters: counts of this process.
+    :param shaper: decides the fate of frames.
+    """
+
+    def __init__(
+        self,
+        socket: pynng.Pair0,
+        *,
+        peer: str,
+        data_centre: str,
+        version: Callable[[], int],
+        counters: LinkCounters,
+        shaper: Shaper | None = None,
+    ) -> None:
+        self.peer = peer
+        self.data_centre = data_centre
+        self._socket = socket
+        self._version = version
+        self._counters = counters
+        self._shaper = shaper or NoShaping()
+        self._outbox: list[AnyMessage] = []
+        self._ready = asyncio.Event()
+        self._flushed = asyncio.Event()
+        self._flushed.set()
+        self._closed = False
+        self._loop = asyncio.get_running_loop()
+        socket.add_post_pipe_remove_cb(self._pipe_removed)
+        self._writer = self._loop.create_task(self._write_frames())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link has ended."""
+        return self._closed
+
+    def post(self, message: AnyMessage) -> None:
+        """Queue a message for the next frame; does nothing on a closed link."""
+        if self._closed:
+            return
+        self._counters.messages[type(message).__name__] += 1
+        self._outbox.append(message)
+        self._flushed.clear()
+        self._ready.set()
+
+    async def receive(self) -> Frame:
+        """Wait for the next frame.
+
+        :raises LinkClosed: when the connection has ended.
+        :raises MalformedMessage: when a frame does not decode; the link lives.
+        """
+        if self._closed:
+            raise LinkClosed(self.peer)
+        try:
+            encoded = await self._socket.arecv()
+        except pynng.NNGException as error:
+            self.close()
+            raise LinkClosed(self.peer) from error
+        return decode_frame(encoded)
+
+    async def flush(self) -> None:
+        """Wait until every queued message has been handed to the connection."""
+        await self._flushed.wait()
+
+    def close(self) -> None:
+        """End the link at once; queued messages are dropped."""
+        if self._closed:
+            return
+        self._closed = True
+        self._flushed.set()
+        self._writer.cancel()
+        self._socket.close()
+
+    def _pipe_removed(self, _pipe: object) -> None:
+        # Runs on a thread of nng.
+        with contextlib.suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(self.close)
+
+    async def _write_frames(self) -> None:
+        while True:
+            await self._ready.wait()
+            batch = self._outbox[:MAX_MESSAGES_PER_FRAME]
+            del self._outbox[: len(batch)]
+            if not self._outbox:
+                self._ready.clear()
+            await self._send(encode_frame(Frame(self._version(), batch)))
+            if not self._outbox:
+                self._flushed.set()
+
+    async def _send(self, encoded: bytes) -> None:
+        self._counters.frames += 1
+        self._counters.bytes += len(encoded)
+        delivery = self._shaper.shape(self.peer, self.data_centre)
+        if delivery is IMMEDIATE:
+            await self._send_now(encoded)
+            return
+        for delay_s in delivery.delays_s:
+            self._loop.call_later(delay_s, self._send_later, encoded)
+
+    async def _send_now(self, encoded: bytes) -> None:
+        try:
+            await self._socket.asend(encoded)
+        except pynng.NNGException:
+            self.close()
+
+    def _send_later(self, encoded: bytes) -> None:
+        if not self._closed:
+            with contextlib.suppress(pynng.NNGException):
+                self._socket.send(encoded, block=False)
+
+
+class LinkListener:
+    """A pair socket that waits for one peer on a port of its own.
+
+    :param host: IP number to listen on.
+    """
+
+    def __init__(self, host: str) -> None:
+        self._socket = _new_socket()
+        self._accepted = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        self._socket.add_post_pipe_connect_cb(
+            lambda _pipe: loop.call_soon_threadsafe(self._accepted.set),
+        )
+        listener = self._socket.listen(f'tcp://{host}:0')
+        self.address = f'tcp://{listener.local_address}'
+
+    async def accept(self) -> pynng.Pair0:
+        """Wait for the peer and return the socket.
+
+        :raises LinkClosed: when nobody dials in time.
+        """
+        try:
+            await asyncio.wait_for(self._accepted.wait(), ACCEPT_TIMEOUT_S)
+        except TimeoutError as error:
+            self._socket.close()
+            raise LinkClosed(self.address) from error
+        return self._socket
+
+
+async def dial(address: str) -> pynng.Pair0:
+    """Connect to a listener.
+
+    :param address: as ``tcp://host:port``.
+    :raises LinkClosed: when nobody listens there.
+    """
+    socket = _new_socket()
+    try:
+        await asyncio.to_thread(socket.dial, address, block=True)
+    except pynng.NNGException as error:
+        socket.close()
+        raise LinkClosed(address) from error
+    return socket
+
+
+def _new_socket() -> pynng.Pair0:
+    socket = pynng.Pair0()
+    socket.send_buffer_size = SOCKET_BUFFER_FRAMES
+    socket.recv_buffer_size = SOCKET_BUFFER_FRAMES
+    socket.recv_max_size = MAX_FRAME_BYTES
+    socket.reconnect_time_min = DIAL_TIMEOUT_MS
+    return socket
--- /dev/null
+++ b/libs/endivetally/src/endivetally/__init__.py
@@ -0,0 +1,1 @@
+"""endivetally: a dispatcher for sub-second tasks."""
