--- /dev/null
+++ b/libs/endivetally-config/src/endivetally_config/exceptions.py
@@ -0,0 +1,68 @@
+"""Exceptions of documents that fail their check."""
+
+from dataclasses import dataclass
+
+from endivetally_core.errors import EndivetallyError
+from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import RequestError
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a JSON document.
+
+    :param path: JSON path of the faulty value, ``$`` for the document.
+    :param message: one sentence for people.
+    """
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Path and message on one line."""
+        return f'{self.path}: {self.message}'
+
+
+class SettingsInvalid(EndivetallyError):
+    """A settings file that can't be read or fails its check.
+
+    :param source: name of the file.
+    :param faults: every fault found.
+    """
+
+    def __init__(self, source: str, faults: tuple[Fault, ...]) -> None:
+        super().__init__(_list_faults(f'{source} is not valid', faults))
+        self.source = source
+        self.faults = faults
+
+
+class TextInvalid(RequestError):
+    """An operators' text that fails its check.
+
+    :param faults: every fault found.
+    """
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        super().__init__(
+            ErrorKind.TEXT_INVALID,
+            _list_faults('the text is not valid', faults),
+        )
+        self.faults = faults
+
+
+class TextConflict(RequestError):
+    """A submission that lost a race or was based on a former version.
+
+    :param winner: version of the text in force.
+    """
+
+    def __init__(self, winner: int) -> None:
+        super().__init__(
+            ErrorKind.TEXT_CONFLICT,
+            f'version {winner} is in force; base the change on it',
+        )
+        self.winner = winner
+
+
+def _list_faults(heading: str, faults: tuple[Fault, ...]) -> str:
+    return '\n'.join((f'{heading}:', *(f'  {fault}' for fault in faults)))
--- a/libs/endivetally-config/src/endivetally_config/settings.py
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -1,9 +1,17 @@
 """Settings of the daemons."""
 
+from typing import Annotated
+from typing import Literal
+
 import msgspec
 from endivetally_core.joining import Address
 from endivetally_core.messages import Identifier
 
+LogLevel = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
+Seconds = Annotated[int, msgspec.Meta(ge=1, le=86_400)]
+BodyBytes = Annotated[int, msgspec.Meta(ge=1, le=64 * 1024 * 1024)]
+Megabytes = Annotated[int, msgspec.Meta(ge=1, le=1024)]
+
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of an entry.
@@ -24,10 +32,10 @@
     seeds: tuple[Address, ...] = ()
     ready_file: str = ''
     allow_shaping: bool = False
-    log_level: str = 'INFO'
-    max_body_bytes: int = 8 * 1024 * 1024
-    key_retention_s: int = 900
-    drain_timeout_s: int = 60
+    log_level: LogLevel = 'INFO'
+    max_body_bytes: BodyBytes = 8 * 1024 * 1024
+    key_retention_s: Seconds = 900
+    drain_timeout_s: Seconds = 60
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -44,7 +52,7 @@
     seeds: tuple[Address, ...] = ()
     ready_file: str = ''
     allow_shaping: bool = False
-    log_level: str = 'INFO'
-    result_retention_s: int = 900
-    result_memory_mb: int = 8
-    drain_timeout_s: int = 60
+    log_level: LogLevel = 'INFO'
+    result_retention_s: Seconds = 900
+    result_memory_mb: Megabytes = 8
+    drain_timeout_s: Seconds = 60
--- /dev/null
+++ b/libs/endivetally-config/src/endivetally_config/structure.py
@@ -0,0 +1,127 @@
+"""Field-by-field check of parsed JSON against structures, all faults at once."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+from typing import Final
+from typing import get_args
+from typing import get_origin
+
+import msgspec
+
+from endivetally_config.exceptions import Fault
+
+MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
+
+ROOT_PATH: Final = '$'
+
+
+class _MalformedDocument(ValueError):
+    """Syntax that the JSON parser of the standard library would let pass."""
+
+
+def parse_json(encoded: bytes) -> tuple[object, list[Fault]]:
+    """Parse a document; a fault in place of a value when it is not JSON."""
+    if len(encoded) > MAX_DOCUMENT_BYTES:
+        message = f'has {len(encoded)} bytes, the limit is {MAX_DOCUMENT_BYTES}'
+        return None, [Fault(ROOT_PATH, message)]
+    try:
+        return _load_json(encoded), []
+    except (ValueError, RecursionError) as error:
+        return None, [Fault(ROOT_PATH, f'is not JSON: {error}')]
+
+
+def find_structure_faults(
+    parsed: object,
+    expected: Any,
+    path: str = ROOT_PATH,
+) -> list[Fault]:
+    """Compare a parsed value with a type and return every difference.
+
+    :param parsed: value as ``json`` returns it.
+    :param expected: a structure, a tuple of one type, or any other type that
+        ``msgspec`` converts to.
+    :param path: JSON path of the value.
+    """
+    if isinstance(expected, type) and issubclass(expected, msgspec.Struct):
+        return _find_object_faults(parsed, expected, path)
+    if get_origin(expected) is tuple and isinstance(parsed, list):
+        return _find_list_faults(parsed, get_args(expected)[0], path)
+    try:
+        msgspec.convert(parsed, expected)
+    except msgspec.ValidationError as error:
+        return [Fault(path, _sentence(error))]
+    return []
+
+
+def _load_json(encoded: bytes) -> object:
+    return json.loads(
+        encoded.decode(),
+        object_pairs_hook=_build_object,
+        parse_constant=_refuse_constant,
+    )
+
+
+def _build_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = {name for name in names if names.count(name) > 1}
+        raise _MalformedDocument(
+            f'an object repeats the field {", ".join(sorted(repeated))}',
+        )
+    return fields
+
+
+def _refuse_constant(name: str) -> object:
+    raise _MalformedDocument(f'{name} is not a JSON value')
+
+
+def _find_object_faults(
+    parsed: object,
+    expected: type[msgspec.Struct],
+    path: str,
+) -> list[Fault]:
+    if not isinstance(parsed, dict):
+        return [Fault(path, f'expected an object, got {_json_type(parsed)}')]
+    fields = msgspec.structs.fields(expected)
+    known = {field.encode_name for field in fields}
+    faults = [
+        Fault(f'{path}.{name}', 'unknown field') for name in parsed if name not in known
+    ]
+    for field in fields:
+        field_path = f'{path}.{field.encode_name}'
+        element = parsed.get(field.encode_name, msgspec.UNSET)
+        if element is not msgspec.UNSET:
+            faults += find_structure_faults(element, field.type, field_path)
+        elif field.required:
+            faults.append(Fault(field_path, 'missing'))
+    return faults
+
+
+def _find_list_faults(
+    parsed: Sequence[object],
+    expected: Any,
+    path: str,
+) -> list[Fault]:
+    return [
+        fault
+        for index, element in enumerate(parsed)
+        for fault in find_structure_faults(element, expected, f'{path}[{index}]')
+    ]
+
+
+def _json_type(parsed: object) -> str:
+    names = {
+        type(None): 'null',
+        bool: 'bool',
+        list: 'array',
+        str: 'str',
+        dict: 'object',
+    }
+    return names.get(type(parsed), type(parsed).__name__)
+
+
+def _sentence(error: msgspec.ValidationError) -> str:
+    message = str(error).replace('`', '')
+    return message[:1].lower() + message[1:]
--- a/libs/endivetally-config/src/endivetally_config/text.py
+++ b/libs/endivetally-config/src/endivetally_config/text.py
@@ -1,9 +1,21 @@
 """Data of the operators' text: services, teams and objectives."""
 
 import enum
+from typing import Annotated
 
 import msgspec
-from endivetally_core.messages import Identifier
+
+Name = Annotated[
+    str,
+    msgspec.Meta(max_length=128, pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*\Z'),
+]
+Token = Annotated[str, msgspec.Meta(max_length=128, pattern=r'^[!-~]+\Z')]
+Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Megabytes = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Rate = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Weight = Annotated[int, msgspec.Meta(ge=1, le=1000)]
+Priority = Annotated[int, msgspec.Meta(ge=0, le=9)]
 
 
 class ServiceKind(enum.StrEnum):
@@ -21,8 +33,8 @@
     :param response_ms: a whole answer within this time is a good one.
     """
 
-    availability: float = 0.999
-    response_ms: int = 2000
+    availability: Share = 0.999
+    response_ms: Milliseconds = 2000
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -35,13 +47,13 @@
     :param priority: lower numbers are served first under overload, from 0.
     """
 
-    name: Identifier
+    name: Name
     kind: ServiceKind
-    depends_on: tuple[Identifier, ...] = ()
-    run_ms: int = 500
-    memory_mb: int = 256
-    deadline_ms: int = 10_000
-    priority: int = 1
+    depends_on: tuple[Name, ...] = ()
+    run_ms: Milliseconds = 500
+    memory_mb: Megabytes = 256
+    deadline_ms: Milliseconds = 10_000
+    priority: Priority = 1
     objective: Objective = Objective()
 
 
@@ -53,10 +65,10 @@
     :param weight: share under overload, relative to the other teams.
     """
 
-    name: Identifier
-    token: Identifier
-    tasks_per_s: int = 1000
-    weight: int = 1
+    name: Name
+    token: Token
+    tasks_per_s: Rate = 1000
+    weight: Weight = 1
 
 
 class OperatorsText(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -68,7 +80,7 @@
 
     services: tuple[Service, ...]
     teams: tuple[Team, ...]
-    largest_worker_memory_mb: int = 32_768
+    largest_worker_memory_mb: Megabytes = 32_768
 
     def service(self, name: str) -> Service | None:
         """Return the service of that name, if there is one."""
--- a/libs/endivetally-core/src/endivetally_core/joining.py
+++ b/libs/endivetally-core/src/endivetally_core/joining.py
@@ -4,16 +4,20 @@
 entry opens a link listener for it and answers with its address.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from endivetally_core.messages import Identifier
 
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
 
-class Address(msgspec.Struct, frozen=True):
+class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where the HTTP server of a process listens."""
 
     host: str
-    port: int
+    port: Port
 
     def __str__(self) -> str:
         """Host and port joined for a URL."""
--- /dev/null
+++ b/libs/endivetally/src/endivetally/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line by ``python -m endivetally``."""
+
+from endivetally.cli import app
+
+if __name__ == '__main__':
+    app(prog_name='endivetally')
--- /dev/null
+++ b/tests/core/test_metrics.py
@@ -0,0 +1,81 @@
+"""Tests of the metrics registry and its exposition."""
+
+import pytest
+from endivetally_core.links import LinkCounters
+from endivetally_core.metrics import MetricName
+from endivetally_core.metrics import Metrics
+from endivetally_core.metrics import Sample
+from endivetally_core.metrics import render_metrics
+
+
+def _lines(metrics):
+    return render_metrics(metrics).body.decode().splitlines()
+
+
+class TestCounter:
+    def test_label_values(self):
+        metrics = Metrics()
+        name = MetricName('x_total', 'Documentation.', ('service', 'code'))
+        counter = metrics.new_counter(name)
+        counter.increment('lookup', 'ok')
+        counter.increment('lookup', 'ok', amount=2)
+        counter.increment('sweep', 'overloaded')
+        assert _lines(metrics) == [
+            '# HELP x_total Documentation.',
+            '# TYPE x_total counter',
+            'x_total{code="ok",service="lookup"} 3',
+            'x_total{code="overloaded",service="sweep"} 1',
+        ]
+
+    def test_link_counters(self):
+        metrics = Metrics()
+        counters = LinkCounters()
+        metrics.add_link_counters(counters)
+        counters.messages['Grant'] += 2
+        counters.bytes += 10
+        lines = _lines(metrics)
+        assert 'endivetally_messages_total{message="Grant"} 2' in lines
+        assert 'endivetally_bytes_total 10' in lines
+
+
+class TestGauge:
+    def test_vanished_samples_are_dropped(self):
+        metrics = Metrics()
+        running = {'lookup': 2, 'sweep': 1}
+        metrics.add_gauge(
+            MetricName('running', 'Tasks.', ('service',)),
+            lambda: [Sample(count, (name,)) for name, count in running.items()],
+        )
+        assert 'running{service="sweep"} 1' in _lines(metrics)
+        running.pop('sweep')
+        running['lookup'] = 5
+        assert _lines(metrics)[2:] == ['running{service="lookup"} 5']
+
+
+class TestHistogram:
+    @pytest.mark.parametrize(
+        ('seconds', 'first_bucket'),
+        [(0, '0.005'), (0.005, '0.005'), (0.006, '0.01'), (30, '30.0'), (31, '+Inf')],
+    )
+    def test_buckets_are_cumulative(self, seconds, first_bucket):
+        metrics = Metrics()
+        histogram = metrics.new_histogram(MetricName('x_seconds', 'S.', ('service',)))
+        histogram.observe(seconds, 'lookup')
+        counted = [
+            line.partition('le="')[2].partition('"')[0]
+            for line in _lines(metrics)
+            if '_bucket' in line and line.endswith(' 1.0')
+        ]
+        assert counted[0] == first_bucket
+        assert counted[-1] == '+Inf'
+
+    def test_sum_and_count(self):
+        metrics = Metrics()
+        histogram = metrics.new_histogram(MetricName('x_seconds', 'Seconds.'))
+        histogram.observe(0.5)
+        histogram.observe(0.25)
+        assert 'x_seconds_count 2.0' in _lines(metrics)
+        assert 'x_seconds_sum 0.75' in _lines(metrics)
+
+    def test_content_type(self):
+        assert render_metrics(Metrics()).content_type.startswith('text/plain')
