Bind tasks late by start credits, and a naive baseline

The entry needs one place that decides which waiting task starts where.

A linear scan over agents with credits was ruled out: with 1,400 idle agents it would be paid by each task.

--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/estimates.py
@@ -0,0 +1,102 @@
+"""Run times learned per service, in place of declared ones that are far off."""
+
+import random
+from typing import Final
+
+_SMOOTHING: Final = 0.05
+_SAMPLES: Final = 256
+_PRIOR_OBSERVATIONS: Final = 10
+_PRIOR_P95_FACTOR: Final = 3.0
+_QUANTILE_EVERY: Final = 32
+_MS_PER_S: Final = 1000.0
+_P05: Final = 0.05
+_P50: Final = 0.5
+_P95: Final = 0.95
+
+
+class RunTimeEstimate:
+    """Run time of one service's tasks, in seconds.
+
+    :param declared_s: prior until tasks were observed.
+    :param seed: seed of the sample.
+    """
+
+    def __init__(self, declared_s: float, seed: int = 0) -> None:
+        self._mean_s = declared_s
+        self._declared_s = declared_s
+        self._count = 0
+        self._samples: list[float] = []
+        self._sorted: list[float] = []
+        self._random = random.Random(seed)
+
+    @property
+    def count(self) -> int:
+        """Number of observed tasks."""
+        return self._count
+
+    @property
+    def mean_s(self) -> float:
+        """Moving average of the run time."""
+        return self._mean_s
+
+    @property
+    def p05_s(self) -> float:
+        """Run time that few tasks stay below; 0 while too little is known."""
+        return self._quantile(_P05, 0)
+
+    @property
+    def p50_s(self) -> float:
+        """Median run time."""
+        return self._quantile(_P50, self._declared_s)
+
+    @property
+    def p95_s(self) -> float:
+        """Run time that few tasks exceed."""
+        return self._quantile(_P95, self._declared_s * _PRIOR_P95_FACTOR)
+
+    def observe(self, run_s: float) -> None:
+        """Take in the run time of a task that ended whole."""
+        self._count += 1
+        share = max(_SMOOTHING, 1 / (self._count + 1))
+        self._mean_s += share * (run_s - self._mean_s)
+        self._keep(run_s)
+        if self._count % _QUANTILE_EVERY == 0 or self._count <= _QUANTILE_EVERY:
+            self._sorted = sorted(self._samples)
+
+    def _keep(self, run_s: float) -> None:
+        if len(self._samples) < _SAMPLES:
+            self._samples.append(run_s)
+            return
+        self._samples[self._random.randrange(_SAMPLES)] = run_s
+
+    def _quantile(self, share: float, prior: float) -> float:
+        if self._count < _PRIOR_OBSERVATIONS:
+            return prior
+        return self._sorted[int(share * (len(self._sorted) - 1))]
+
+
+class RunTimeEstimates:
+    """Run time estimates of all services.
+
+    :param default_s: prior of a service that declared none.
+    """
+
+    def __init__(self, default_s: float = 0.5) -> None:
+        self._default_s = default_s
+        self._services: dict[str, RunTimeEstimate] = {}
+
+    def declare(self, service: str, run_ms: float) -> None:
+        """Set the prior of a service that nothing is known of yet."""
+        known = self._services.get(service)
+        if known is None or known.count == 0:
+            self._services[service] = RunTimeEstimate(run_ms / _MS_PER_S)
+
+    def observe(self, service: str, run_ms: float) -> None:
+        """Take in the run time of a task that ended whole."""
+        self.of(service).observe(run_ms / _MS_PER_S)
+
+    def of(self, service: str) -> RunTimeEstimate:
+        """Return the estimate of a service."""
+        if service not in self._services:
+            self._services[service] = RunTimeEstimate(self._default_s)
+        return self._services[service]
--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
@@ -0,0 +1,187 @@
+"""Scheduler that binds late, by start credits of the agents."""
+
+import random
+from typing import TYPE_CHECKING
+from typing import Final
+
+from endivetally_policy.ejection import EjectionSettings
+from endivetally_policy.ejection import ServiceHealth
+from endivetally_policy.estimates import RunTimeEstimates
+from endivetally_policy.scheduling.demand import DemandSettings
+from endivetally_policy.scheduling.interface import AgentView
+from endivetally_policy.scheduling.interface import Binding
+from endivetally_policy.scheduling.interface import CreditDemand
+from endivetally_policy.scheduling.interface import PendingTask
+from endivetally_policy.scheduling.interface import Scheduler
+from endivetally_policy.scheduling.pool import ServicePool
+from endivetally_policy.scheduling.ranking import TrackedAgent
+
+if TYPE_CHECKING:
+    from endivetally_core.joining import AgentIdentity
+
+_MS_PER_S: Final = 1000.0
+
+
+class CreditScheduler(Scheduler):
+    """Keeps tasks at the entry until an agent has a slot for them.
+
+    :param data_centre: data centre of the entry; its agents are tried first.
+    :param estimates: learned run times, which the outcomes feed.
+    :param seed: seed of the order among equal agents.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        estimates: RunTimeEstimates | None = None,
+        demand_settings: DemandSettings | None = None,
+        ejection_settings: EjectionSettings | None = None,
+        seed: int = 0,
+    ) -> None:
+        self._data_centre = data_centre
+        self._estimates = estimates or RunTimeEstimates()
+        self._demand_settings = demand_settings or DemandSettings()
+        self._ejection_settings = ejection_settings or EjectionSettings()
+        self._random = random.Random(seed)
+        self._pools: dict[str, ServicePool] = {}
+        self._agents: dict[str, TrackedAgent] = {}
+        self._admitted: set[str] = set()
+
+    @property
+    def estimates(self) -> RunTimeEstimates:
+        """Learned run times."""
+        return self._estimates
+
+    def submit(self, task: PendingTask, now: float) -> None:
+        """Add a task that waits for a target."""
+        self._pool(task.service).queue.push(task)
+
+    def withdraw(self, owner: str, sequence: int) -> list[PendingTask]:
+        """Remove and return the waiting tasks of one request."""
+        withdrawn = []
+        for pool in self._pools.values():
+            withdrawn.extend(pool.queue.withdraw(owner, sequence))
+        return withdrawn
+
+    def agent_joined(self, identity: 'AgentIdentity', now: float) -> None:
+        """Add an agent, open and without credits."""
+        self.agent_left(identity.incarnation, now)
+        remote = identity.data_centre != self._data_centre
+        agent = TrackedAgent(identity, remote, self._random.random())
+        agent.admitted = identity.incarnation in self._admitted
+        self._agents[identity.incarnation] = agent
+        self._pool(identity.service).join(agent)
+
+    def agent_left(self, incarnation: str, now: float) -> None:
+        """Forget an agent and its credits."""
+        agent = self._agents.pop(incarnation, None)
+        if agent is not None:
+            self._pool(agent.identity.service).leave(agent)
+
+    def agent_changed(
+        self,
+        incarnation: str,
+        state: str,
+        running: int,
+        now: float,
+    ) -> None:
+        """Take in a state report; an agent that is not open loses its credits."""
+        agent = self._agents.get(incarnation)
+        if agent is not None:
+            self._pool(agent.identity.service).state_changed(agent, state, running)
+
+    def admit_agents(self, incarnations: frozenset[str]) -> None:
+        """Allow exclusive tasks at agents that are durable in the journal."""
+        self._admitted |= incarnations
+        for incarnation in incarnations:
+            agent = self._agents.get(incarnation)
+            if agent is not None:
+                agent.admitted = True
+                self._pool(agent.identity.service).changed(agent)
+
+    def credits_granted(self, incarnation: str, count: int, now: float) -> None:
+        """Add start credits of an agent."""
+        agent = self._agents.get(incarnation)
+        if agent is not None and agent.is_open:
+            agent.credits += count
+            self._pool(agent.identity.service).changed(agent)
+
+    def credits_revoked(self, incarnation: str, count: int) -> int:
+        """Give up unused credits; return how many."""
+        agent = self._agents.get(incarnation)
+        if agent is None:
+            return 0
+        given_back = min(count, agent.credits)
+        agent.credits -= given_back
+        self._pool(agent.identity.service).changed(agent)
+        return given_back
+
+    def task_ended(
+        self,
+        incarnation: str,
+        service: str,
+        status: str,
+        run_ms: float,
+        now: float,
+    ) -> None:
+        """Take in the outcome of a binding, with the status of its message."""
+        if status == 'done':
+            self._estimates.observe(service, run_ms)
+        agent = self._agents.get(incarnation)
+        if agent is not None:
+            run_s = run_ms / _MS_PER_S
+            self._pool(agent.identity.service).ended(agent, status, run_s, now)
+
+    def bind(self, now: float) -> list[Binding]:
+        """Bind waiting tasks; each binding consumes a credit."""
+        bindings = []
+        for pool in self._pools.values():
+            bindings.extend(pool.bind(now))
+        return bindings
+
+    def demands(self, now: float) -> list[CreditDemand]:
+        """Return the credit demands that are due."""
+        demands = []
+        for pool in self._pools.values():
+            demands.extend(pool.demands(now))
+        return demands
+
+    def expired(self, now: float) -> list[PendingTask]:
+        """Remove and return tasks that cannot start before their deadline."""
+        expired = []
+        for pool in self._pools.values():
+            expired.extend(pool.queue.pop_until_deadline(now))
+        return expired
+
+    def waiting(self, service: str) -> int:
+        """Return the number of waiting tasks of a service."""
+        pool = self._pools.get(service)
+        return 0 if pool is None else len(pool.queue)
+
+    def capacity(self, service: str) -> int:
+        """Return the slots of open agents that are not ejected."""
+        pool = self._pools.get(service)
+        return 0 if pool is None else pool.capacity
+
+    def agents(self, service: str) -> list[AgentView]:
+        """Return what is known of the agents of a service."""
+        pool = self._pools.get(service)
+        return [] if pool is None else pool.views()
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when `demands` or `expired` may next have something."""
+        times = []
+        for pool in self._pools.values():
+            times.append(pool.demand_due_at())
+            times.append(pool.queue.first_deadline())
+        return min((time for time in times if time is not None), default=None)
+
+    def _pool(self, service: str) -> ServicePool:
+        if service not in self._pools:
+            self._pools[service] = ServicePool(
+                service,
+                self._estimates.of(service),
+                ServiceHealth(self._ejection_settings),
+                self._demand_settings,
+            )
+        return self._pools[service]
--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
@@ -0,0 +1,149 @@
+"""Baseline scheduler: a random target at once, whatever its state."""
+
+import random
+from typing import TYPE_CHECKING
+
+from endivetally_policy.scheduling.fair_queue import FairQueue
+from endivetally_policy.scheduling.interface import AgentView
+from endivetally_policy.scheduling.interface import Binding
+from endivetally_policy.scheduling.interface import CreditDemand
+from endivetally_policy.scheduling.interface import PendingTask
+from endivetally_policy.scheduling.interface import Scheduler
+
+if TYPE_CHECKING:
+    from endivetally_core.joining import AgentIdentity
+
+
+class NaiveScheduler(Scheduler):
+    """Binds every task at once to a random agent of its service.
+
+    It ignores credits, states and failures, and keeps only the rule that
+    exclusive tasks go to admitted agents.
+
+    :param seed: seed of the choice.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+        self._queues: dict[str, FairQueue] = {}
+        self._agents: dict[str, dict[str, AgentIdentity]] = {}
+        self._services: dict[str, str] = {}
+        self._admitted: set[str] = set()
+
+    def submit(self, task: PendingTask, now: float) -> None:
+        """Add a task that waits for a target."""
+        self._queues.setdefault(task.service, FairQueue()).push(task)
+
+    def withdraw(self, owner: str, sequence: int) -> list[PendingTask]:
+        """Remove and return the waiting tasks of one request."""
+        withdrawn = []
+        for queue in self._queues.values():
+            withdrawn.extend(queue.withdraw(owner, sequence))
+        return withdrawn
+
+    def agent_joined(self, identity: 'AgentIdentity', now: float) -> None:
+        """Add an agent."""
+        self._services[identity.incarnation] = identity.service
+        known = self._agents.setdefault(identity.service, {})
+        known[identity.incarnation] = identity
+
+    def agent_left(self, incarnation: str, now: float) -> None:
+        """Forget an agent."""
+        service = self._services.pop(incarnation, None)
+        if service is not None:
+            self._agents[service].pop(incarnation)
+
+    def agent_changed(
+        self,
+        incarnation: str,
+        state: str,
+        running: int,
+        now: float,
+    ) -> None:
+        """Ignore the report."""
+
+    def admit_agents(self, incarnations: frozenset[str]) -> None:
+        """Allow exclusive tasks at agents that are durable in the journal."""
+        self._admitted |= incarnations
+
+    def credits_granted(self, incarnation: str, count: int, now: float) -> None:
+        """Ignore the credits."""
+
+    def credits_revoked(self, incarnation: str, count: int) -> int:
+        """Give back nothing: no credit is kept."""
+        return 0
+
+    def task_ended(
+        self,
+        incarnation: str,
+        service: str,
+        status: str,
+        run_ms: float,
+        now: float,
+    ) -> None:
+        """Ignore the outcome."""
+
+    def bind(self, now: float) -> list[Binding]:
+        """Bind every waiting task of a service that has an agent."""
+        bindings = []
+        for service, queue in self._queues.items():
+            bindings.extend(self._bind_service(service, queue))
+        return bindings
+
+    def demands(self, now: float) -> list[CreditDemand]:
+        """Return nothing: credits are not used."""
+        return []
+
+    def expired(self, now: float) -> list[PendingTask]:
+        """Remove and return tasks that cannot start before their deadline."""
+        expired = []
+        for queue in self._queues.values():
+            expired.extend(queue.pop_until_deadline(now))
+        return expired
+
+    def waiting(self, service: str) -> int:
+        """Return the number of waiting tasks of a service."""
+        queue = self._queues.get(service)
+        return 0 if queue is None else len(queue)
+
+    def capacity(self, service: str) -> int:
+        """Return the slots of all agents."""
+        identities = self._agents.get(service, {}).values()
+        return sum(identity.slots for identity in identities)
+
+    def agents(self, service: str) -> list[AgentView]:
+        """Return the agents of a service."""
+        return [
+            AgentView(
+                identity=identity,
+                state='open',
+                credits=0,
+                running=0,
+                outstanding=0,
+                admitted=incarnation in self._admitted,
+                ejected=False,
+                slow=False,
+            )
+            for incarnation, identity in self._agents.get(service, {}).items()
+        ]
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return the earliest deadline of a waiting task."""
+        times = [queue.first_deadline() for queue in self._queues.values()]
+        return min((time for time in times if time is not None), default=None)
+
+    def _bind_service(self, service: str, queue: FairQueue) -> list[Binding]:
+        known = list(self._agents.get(service, ()))
+        admitted = [agent for agent in known if agent in self._admitted]
+        bindings = []
+        passed = []
+        while queue:
+            task = queue.pop()
+            choices = admitted if task.exclusive else known
+            if choices:
+                bindings.append(Binding(task, self._random.choice(choices)))
+            else:
+                passed.append(task)
+        for task in reversed(passed):
+            queue.restore(task)
+        return bindings
