--- a/libs/endivetally-core/src/endivetally_core/errors.py
+++ b/libs/endivetally-core/src/endivetally_core/errors.py
@@ -145,3 +145,7 @@
 
 class TableConflict(EndivetallyError):
     """A condition of a transaction did not hold; nothing was written."""
+
+
+class Fenced(EndivetallyError):
+    """This incarnation was taken over or retired; it may admit nothing more."""
--- /dev/null
+++ b/libs/endivetally-standins/src/endivetally_standins/table_service.py
@@ -0,0 +1,216 @@
+"""Stand-in of the platform's table service over HTTP, with faults.
+
+Calls: ``POST /commit`` with a `Transaction`, ``GET /row?key=``,
+``GET /scan?prefix=``, ``GET /stats``, ``POST /faults`` with `TableFaults`.
+Bodies are MessagePack, or JSON with the type ``application/json``.
+"""
+
+import asyncio
+import contextlib
+import signal
+from pathlib import Path
+from typing import Annotated
+from typing import Final
+
+import msgspec
+import typer
+from endivetally_core.errors import TableConflict
+from endivetally_core.errors import TableUnavailable
+from endivetally_table.http import MSGPACK_TYPE
+from endivetally_table.memory import MemoryTable
+from endivetally_table.memory import TableFaults
+from endivetally_table.table import Transaction
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+WRITE_MS: Final = 4
+READ_MS: Final = 1
+JSON_TYPE: Final = 'application/json'
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+_UNAVAILABLE: Final = 503
+
+
+class TableHandler(RequestHandler):
+    """Base of the calls; codecs and faults.
+
+    :param table: the rows.
+    """
+
+    def initialize(self, table: MemoryTable) -> None:
+        """Take the rows from the application."""
+        self.table = table
+
+    def is_json(self, header: str) -> bool:
+        """Return whether a header names JSON."""
+        return self.request.headers.get(header, '').startswith(JSON_TYPE)
+
+    def answer(self, content: object) -> None:
+        """Write a body in the form that the caller accepts."""
+        if self.is_json('Accept'):
+            self.set_header('Content-Type', JSON_TYPE)
+            self.write(msgspec.json.encode(content))
+            return
+        self.set_header('Content-Type', MSGPACK_TYPE)
+        self.write(msgspec.msgpack.encode(content))
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self.detach().close()
+
+    def fail(self, status: int, reason: str) -> None:
+        """Answer with an error."""
+        self.set_status(status)
+        self.finish(reason)
+
+
+class CommitHandler(TableHandler):
+    """``POST /commit``."""
+
+    async def post(self) -> None:
+        """Apply a transaction; 409 when a condition does not hold."""
+        codec = msgspec.json if self.is_json('Content-Type') else msgspec.msgpack
+        try:
+            transaction = codec.decode(self.request.body, type=Transaction)
+        except msgspec.DecodeError as error:
+            self.fail(_BAD_REQUEST, str(error))
+            return
+        await self._commit(transaction)
+
+    async def _commit(self, transaction: Transaction) -> None:
+        try:
+            await self.table.commit(transaction)
+        except TableConflict as error:
+            self.fail(_CONFLICT, str(error))
+        except TableUnavailable as error:
+            if self.table.faults.down:
+                self.fail(_UNAVAILABLE, str(error))
+            else:
+                self.drop()
+
+
+class RowHandler(TableHandler):
+    """``GET /row``."""
+
+    async def get(self) -> None:
+        """Answer one row; 404 when it does not exist."""
+        try:
+            row = await self.table.read(self.get_query_argument('key'))
+        except TableUnavailable as error:
+            self.fail(_UNAVAILABLE, str(error))
+            return
+        if row is None:
+            self.fail(_NOT_FOUND, 'no such row')
+            return
+        self.answer(row)
+
+
+class ScanHandler(TableHandler):
+    """``GET /scan``."""
+
+    async def get(self) -> None:
+        """Answer the rows with a prefix, in key order."""
+        try:
+            rows = await self.table.scan(self.get_query_argument('prefix'))
+        except TableUnavailable as error:
+            self.fail(_UNAVAILABLE, str(error))
+            return
+        self.answer(rows)
+
+
+class StatsHandler(TableHandler):
+    """``GET /stats``."""
+
+    def get(self) -> None:
+        """Answer the counts as JSON."""
+        self.set_header('Content-Type', JSON_TYPE)
+        self.write(msgspec.json.encode(self.table.stats))
+
+
+class FaultsHandler(TableHandler):
+    """``POST /faults``."""
+
+    def post(self) -> None:
+        """Replace the faults; what is not named is switched off."""
+        try:
+            self.table.faults = msgspec.json.decode(self.request.body, type=TableFaults)
+        except msgspec.DecodeError as error:
+            self.fail(_BAD_REQUEST, str(error))
+
+
+def make_application(table: MemoryTable) -> Application:
+    """Return the application that serves a table."""
+    shared = {'table': table}
+    return Application(
+        [
+            ('/commit', CommitHandler, shared),
+            ('/row', RowHandler, shared),
+            ('/scan', ScanHandler, shared),
+            ('/stats', StatsHandler, shared),
+            ('/faults', FaultsHandler, shared),
+        ],
+        log_function=lambda _handler: None,
+    )
+
+
+class TableServer:
+    """The stand-in on a port.
+
+    :param table: the rows.
+    :param host: IP number to listen on.
+    :param port: 0 takes a free one.
+    """
+
+    def __init__(
+        self, table: MemoryTable, host: str = '127.0.0.1', port: int = 0
+    ) -> None:
+        self.table = table
+        self._server = HTTPServer(make_application(table))
+        sockets = bind_sockets(port, host)
+        self.host = host
+        self.port: int = sockets[0].getsockname()[1]
+        self._server.add_sockets(sockets)
+
+    async def close(self) -> None:
+        """Stop listening and end the connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+async def serve(table: MemoryTable, host: str, port: int, ready_file: str) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    :param ready_file: written with ``host:port`` once it listens.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with contextlib.AsyncExitStack() as stack:
+        server = TableServer(table, host, port)
+        stack.push_async_callback(server.close)
+        if ready_file:
+            Path(ready_file).write_text(f'{host}:{server.port}', encoding='utf-8')
+        await stopped.wait()
+
+
+def main(
+    *,
+    host: Annotated[str, typer.Option(help='IP number to listen on.')] = '127.0.0.1',
+    port: Annotated[int, typer.Option(help='Port; 0 takes a free one.')] = 0,
+    ready_file: Annotated[
+        str, typer.Option(help='Written with host:port once it listens.')
+    ] = '',
+    write_ms: Annotated[int, typer.Option(help='Milliseconds per write.')] = WRITE_MS,
+    read_ms: Annotated[int, typer.Option(help='Milliseconds per read.')] = READ_MS,
+) -> None:
+    """Serve a stand-in of the platform's table service."""
+    table = MemoryTable(write_ms=write_ms, read_ms=read_ms)
+    asyncio.run(serve(table, host, port, ready_file))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/libs/endivetally-table/src/endivetally_table/memory.py
@@ -0,0 +1,124 @@
+"""A table service in memory with the faults of the platform's one."""
+
+import asyncio
+from typing import Final
+
+import msgspec
+from endivetally_core.errors import TableConflict
+from endivetally_core.errors import TableUnavailable
+
+from endivetally_table.table import Row
+from endivetally_table.table import Table
+from endivetally_table.table import Transaction
+
+_MS_PER_S: Final = 1000
+
+
+class TableFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults that a test switches on.
+
+    :param down: every call fails at once, without effect.
+    :param slow_ms: milliseconds added to every call.
+    :param lose_answers: the next commits take effect but report a lost answer.
+    :param late_commits: the next commits report a lost answer and take effect
+        only at `MemoryTable.land_late_commits`.
+    """
+
+    down: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    late_commits: int = 0
+
+
+class TableStats(msgspec.Struct):
+    """Counts of calls that reached the service.
+
+    :param writes: transactions that were applied; ``rows`` are their rows.
+    """
+
+    writes: int = 0
+    rows: int = 0
+    reads: int = 0
+    conflicts: int = 0
+
+
+class MemoryTable(Table):
+    """Keeps rows in a dict; each transaction is applied in one step.
+
+    :param write_ms: milliseconds that a commit takes.
+    :param read_ms: milliseconds that a read or scan takes.
+    """
+
+    def __init__(self, *, write_ms: int = 0, read_ms: int = 0) -> None:
+        self.faults = TableFaults()
+        self.stats = TableStats()
+        self._write_ms = write_ms
+        self._read_ms = read_ms
+        self._rows: dict[str, Row] = {}
+        self._late: list[Transaction] = []
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row, if it exists."""
+        await self._delay(self._read_ms)
+        self.stats.reads += 1
+        return self._rows.get(key)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return the rows whose key starts with the prefix, in key order."""
+        await self._delay(self._read_ms)
+        self.stats.reads += 1
+        return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply a transaction, then report as the faults say."""
+        await self._delay(self._write_ms)
+        if self.faults.late_commits:
+            self.faults.late_commits -= 1
+            self._late.append(transaction)
+            raise TableUnavailable('answer lost')
+        self._apply(transaction)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise TableUnavailable('answer lost')
+
+    def land_late_commits(self) -> int:
+        """Apply the commits that were held back; return how many took effect."""
+        late = self._late
+        self._late = []
+        return sum(self._lands(transaction) for transaction in late)
+
+    def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    async def _delay(self, call_ms: int) -> None:
+        delay_ms = call_ms + self.faults.slow_ms
+        await asyncio.sleep(delay_ms / _MS_PER_S)
+        if self.faults.down:
+            raise TableUnavailable('table service is down')
+
+    def _lands(self, transaction: Transaction) -> bool:
+        try:
+            self._apply(transaction)
+        except TableConflict:
+            return False
+        return True
+
+    def _apply(self, transaction: Transaction) -> None:
+        for condition in transaction.conditions:
+            if self._version(condition.key) != condition.version:
+                self.stats.conflicts += 1
+                raise TableConflict(condition.key)
+        for put in transaction.puts:
+            self._put(put.key, put.content)
+        self.stats.writes += 1
+        self.stats.rows += len(transaction.puts)
+
+    def _put(self, key: str, content: bytes | None) -> None:
+        if content is None:
+            self._rows.pop(key, None)
+            return
+        self._rows[key] = Row(key, content, self._version(key) + 1)
+
+    def _version(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row else 0
--- /dev/null
+++ b/tests/standins/test_table_service.py
@@ -0,0 +1,112 @@
+"""Tests of the table service's stand-in with the HTTP client."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from endivetally_core.errors import TableConflict
+from endivetally_core.errors import TableUnavailable
+from endivetally_core.joining import Address
+from endivetally_standins.table_service import TableServer
+from endivetally_table.http import HttpTable
+from endivetally_table.memory import MemoryTable
+from endivetally_table.memory import TableFaults
+from endivetally_table.table import Condition
+from endivetally_table.table import Put
+from endivetally_table.table import Row
+from endivetally_table.table import Transaction
+from tornado.httpclient import AsyncHTTPClient
+
+CREATE = Transaction((Condition('a/1', 0),), (Put('a/1', b'x'), Put('b', b'y')))
+
+
+@pytest.fixture
+async def server():
+    server = TableServer(MemoryTable())
+    yield server
+    await server.close()
+
+
+@pytest.fixture
+def table(server):
+    with contextlib.closing(HttpTable(Address(server.host, server.port))) as table:
+        yield table
+
+
+async def _call(server, path, body=None):
+    client = AsyncHTTPClient()
+    response = await client.fetch(
+        f'http://{server.host}:{server.port}{path}',
+        method='GET' if body is None else 'POST',
+        body=body,
+        headers={'Content-Type': 'application/json', 'Accept': 'application/json'},
+        raise_error=False,
+    )
+    return response.code, response.body
+
+
+class TestCalls:
+    async def test_commit_read_scan(self, table):
+        await table.commit(CREATE)
+        assert await table.read('a/1') == Row('a/1', b'x', 1)
+        assert await table.read('a/2') is None
+        assert await table.scan('a/') == [Row('a/1', b'x', 1)]
+
+    async def test_conflict_writes_nothing(self, table):
+        await table.commit(CREATE)
+        with pytest.raises(TableConflict):
+            await table.commit(CREATE)
+        assert (await table.read('b')).version == 1
+
+    async def test_json(self, server):
+        body = '{"conditions": [], "puts": [{"key": "a", "content": "eA=="}]}'
+        assert await _call(server, '/commit', body) == (200, b'')
+        code, answer = await _call(server, '/row?key=a')
+        assert json.loads(answer) == {'key': 'a', 'content': 'eA==', 'version': 1}
+        stats = json.loads((await _call(server, '/stats'))[1])
+        assert (stats['writes'], stats['reads']) == (1, 1)
+
+    @pytest.mark.parametrize('path', ['/commit', '/faults'])
+    async def test_malformed(self, server, path):
+        assert (await _call(server, path, 'no'))[0] == 400
+
+
+class TestFaults:
+    async def test_lost_answer_takes_effect(self, server, table):
+        await _call(server, '/faults', '{"lose_answers": 1}')
+        with pytest.raises(TableUnavailable):
+            await table.commit(CREATE)
+        assert await table.read('b') == Row('b', b'y', 1)
+
+    async def test_down(self, server, table):
+        server.table.faults = TableFaults(down=True)
+        for call in (table.read('a'), table.scan('a'), table.commit(CREATE)):
+            with pytest.raises(TableUnavailable):
+                await call
+
+    async def test_nobody_listens(self, server, table):
+        await server.close()
+        with pytest.raises(TableUnavailable):
+            await table.read('a')
+
+
+class TestMain:
+    def test_ready_file_and_sigterm(self, tmp_path):
+        ready = tmp_path / 'ready'
+        module = 'endivetally_standins.table_service'
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, '--port', '0', '--ready-file', str(ready)],
+            env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
+        )
+        with process:
+            while not (ready.exists() and ready.read_text()):
+                assert process.poll() is None
+                time.sleep(0.01)
+            process.send_signal(signal.SIGTERM)
+        assert process.returncode == 0
+        assert ready.read_text().startswith('127.0.0.1:')
--- /dev/null
+++ b/tests/table/test_directory.py
@@ -0,0 +1,182 @@
+"""Tests of entries' rows and of changes of the shard map."""
+
+import asyncio
+
+import pytest
+from endivetally_core.errors import Fenced
+from endivetally_core.errors import TableUnavailable
+from endivetally_core.joining import Address
+from endivetally_core.joining import EntryIdentity
+from endivetally_table.directory import ShardDirectory
+from endivetally_table.entries import EntryRegistry
+from endivetally_table.memory import MemoryTable
+from endivetally_table.shards import SHARD_COUNT
+from endivetally_table.shards import ShardMap
+from endivetally_table.shards import ShardMove
+
+NOW = 1000.0
+NAMES = ('alpha', 'beta', 'gamma')
+ALPHA, BETA, GAMMA = (
+    EntryIdentity(name, f'{name}.1', 'dc-1', Address('127.0.0.1', 1)) for name in NAMES
+)
+ALL = tuple(range(SHARD_COUNT))
+
+
+@pytest.fixture
+async def table():
+    table = MemoryTable()
+    for identity in (ALPHA, BETA, GAMMA):
+        await EntryRegistry(table).register(identity)
+    return table
+
+
+@pytest.fixture
+async def directory(table):
+    directory = ShardDirectory(table, retention_s=900, clock=lambda: NOW)
+    await directory.join(ALPHA)
+    return directory
+
+
+class TestRegistry:
+    @pytest.mark.parametrize('fault', ['lose_answers', 'late_commits'])
+    async def test_lost_answers_are_read_back(self, fault):
+        table = MemoryTable()
+        registry = EntryRegistry(table)
+        setattr(table.faults, fault, 1)
+        await registry.register(ALPHA)
+        assert await registry.live() == [ALPHA]
+        setattr(table.faults, fault, 1)
+        await registry.retire(ALPHA)
+        assert await registry.live() == []
+
+    async def test_unavailable(self):
+        table = MemoryTable()
+        table.faults.down = True
+        with pytest.raises(TableUnavailable):
+            await EntryRegistry(table).register(ALPHA)
+
+    async def test_fenced_entry_can_not_retire(self, table, directory):
+        registry = EntryRegistry(table)
+        await directory.take_over(ALPHA.incarnation, BETA)
+        assert await registry.fenced() == [ALPHA]
+        with pytest.raises(Fenced):
+            await registry.retire(ALPHA)
+        with pytest.raises(Fenced):
+            await registry.register(ALPHA)
+
+
+class TestJoin:
+    async def test_first_takes_all_and_releases_the_share_of_others(self, directory):
+        shard_map = directory.shard_map
+        assert shard_map.shards_of(ALPHA.incarnation) == ALL
+        live = (ALPHA.incarnation, BETA.incarnation)
+        (move,) = shard_map.misplaced(ALPHA.incarnation, live)
+        moved = await directory.release(ALPHA, move.shards, move.to)
+        assert moved.shards_of(BETA.incarnation) == move.shards
+        assert moved.former_owners_of(move.shards[0]) == (ALPHA.incarnation,)
+        assert moved.misplaced(ALPHA.incarnation, live) == ()
+
+    async def test_race(self, table):
+        directories = [ShardDirectory(table, retention_s=900) for _name in NAMES]
+        await asyncio.gather(
+            *(
+                one.join(identity)
+                for one, identity in zip(directories, (ALPHA, BETA, GAMMA), strict=True)
+            )
+        )
+        shard_map = await directories[0].refresh()
+        assert len(set(shard_map.owners)) == 1
+        assert shard_map.version == 1
+
+    async def test_unregistered(self, table):
+        stranger = EntryIdentity('d', 'd.1', 'dc-1', Address('127.0.0.1', 1))
+        with pytest.raises(Fenced):
+            await ShardDirectory(table, retention_s=900).join(stranger)
+
+
+class TestLeave:
+    @pytest.mark.parametrize('fault', ['lose_answers', 'late_commits'])
+    async def test_shards_move_in_one_step(self, table, directory, fault):
+        setattr(table.faults, fault, 1)
+        shard_map = await directory.leave(ALPHA)
+        table.land_late_commits()
+        assert await directory.refresh() == shard_map
+        assert shard_map.version == 2
+        assert set(shard_map.owners) == {BETA.incarnation, GAMMA.incarnation}
+        with pytest.raises(Fenced):
+            await directory.release(ALPHA, ALL, BETA.incarnation)
+
+    async def test_only_among(self, directory):
+        shard_map = await directory.leave(ALPHA, among={GAMMA.incarnation})
+        assert shard_map.shards_of(GAMMA.incarnation) == ALL
+
+    async def test_last_one_leaves_shards_to_the_next(self, table, directory):
+        await directory.leave(BETA)
+        await directory.leave(GAMMA)
+        await directory.leave(ALPHA)
+        assert set(directory.shard_map.owners) == {''}
+        assert directory.shard_map.former_owners_of(0) == (ALPHA.incarnation,)
+
+
+class TestTakeover:
+    @pytest.mark.parametrize('fault', ['lose_answers', 'late_commits'])
+    async def test_lost_answer(self, table, directory, fault):
+        setattr(table.faults, fault, 1)
+        outcome = await directory.take_over(ALPHA.incarnation, BETA)
+        table.land_late_commits()
+        assert outcome.won
+        assert outcome.gained == outcome.shard_map.shards_of(BETA.incarnation)
+        assert await directory.refresh() == outcome.shard_map
+
+    async def test_one_of_two_wins(self, table, directory):
+        rivals = [ShardDirectory(table, retention_s=900) for _name in range(2)]
+        first, second = await asyncio.gather(
+            rivals[0].take_over(ALPHA.incarnation, BETA),
+            rivals[1].take_over(ALPHA.incarnation, GAMMA),
+        )
+        assert {first.won, second.won} == {True, False}
+        assert first.fenced_by == second.fenced_by
+        assert first.shard_map == second.shard_map
+        assert sorted(first.gained + second.gained) == list(ALL)
+
+    async def test_of_each_other(self, table, directory):
+        rivals = [ShardDirectory(table, retention_s=900) for _name in range(2)]
+        results = await asyncio.gather(
+            rivals[0].take_over(ALPHA.incarnation, BETA),
+            rivals[1].take_over(BETA.incarnation, ALPHA),
+            return_exceptions=True,
+        )
+        assert sum(isinstance(result, Fenced) for result in results) == 1
+        assert len(await EntryRegistry(table).live()) == 2
+
+    async def test_receiver_that_ends_meanwhile_gets_nothing(self, table, directory):
+        await asyncio.gather(
+            directory.take_over(ALPHA.incarnation, BETA),
+            ShardDirectory(table, retention_s=900).leave(GAMMA),
+        )
+        shard_map = await directory.refresh()
+        assert set(shard_map.owners) == {BETA.incarnation}
+
+    async def test_release_races_takeover_of_the_receiver(self, table, directory):
+        await asyncio.gather(
+            directory.release(ALPHA, range(8), GAMMA.incarnation),
+            ShardDirectory(table, retention_s=900).take_over(GAMMA.incarnation, BETA),
+        )
+        shard_map = await directory.refresh()
+        assert GAMMA.incarnation not in shard_map.owners
+
+
+class TestShardMap:
+    def test_former_owners_go_after_the_retention(self):
+        first = ShardMap(owners=('a',) * SHARD_COUNT)
+        second = first.moved([ShardMove('b', (1,))], now=0, retention_s=900)
+        assert second.former_owners_of(1) == ('a',)
+        later = second.moved([ShardMove('b', (2,))], now=961, retention_s=900)
+        assert later.former_owners_of(1) == ()
+        assert later.former_owners_of(2) == ('a',)
+
+    def test_gained(self):
+        first = ShardMap(owners=('a',) * SHARD_COUNT)
+        second = first.moved([ShardMove('b', (1, 2))], now=0, retention_s=900)
+        assert second.gained_since(first, 'b') == (1, 2)
+        assert second.inherited('a', 'b') == (1, 2)
