Add admission, quotas, retries, hedging and learned run times

Requests that cannot be answered in time have to be refused before anything of them ran, and a retry must not multiply a failure.

Quotas: the split 'rate minus the others' last usage' was ruled out, since N entries that answer to the same report overshoot together (gain N-1). Entries report what teams asked for instead, and each works out the same max-min split.

Dropping queued tasks by a learned least run time was ruled out: once a service was slow for a while, nothing would start and the estimate would never recover.

--- a/libs/endivetally-policy/src/endivetally_policy/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/__init__.py
@@ -1,1 +1,36 @@
-"""Part of endivetally; see its modules."""
+"""Decisions of an entry: routing, limits, quotas, retries, ejection, hedges.
+
+All classes are free of I/O and take the time as an argument.
+"""
+
+from endivetally_policy.admission import Admission
+from endivetally_policy.admission import AdmissionSettings
+from endivetally_policy.ejection import EjectionSettings
+from endivetally_policy.ejection import ServiceHealth
+from endivetally_policy.ejection import Standing
+from endivetally_policy.estimates import RunTimeEstimate
+from endivetally_policy.estimates import RunTimeEstimates
+from endivetally_policy.hedging import HedgePolicy
+from endivetally_policy.hedging import NoHedging
+from endivetally_policy.hedging import QuantileHedging
+from endivetally_policy.quotas import TeamQuotas
+from endivetally_policy.retries import EndedBinding
+from endivetally_policy.retries import RetryDecision
+from endivetally_policy.retries import RetryPolicy
+
+__all__ = (
+    'Admission',
+    'AdmissionSettings',
+    'EjectionSettings',
+    'EndedBinding',
+    'HedgePolicy',
+    'NoHedging',
+    'QuantileHedging',
+    'RetryDecision',
+    'RetryPolicy',
+    'RunTimeEstimate',
+    'RunTimeEstimates',
+    'ServiceHealth',
+    'Standing',
+    'TeamQuotas',
+)
--- a/libs/endivetally-policy/src/endivetally_policy/estimates.py
+++ b/libs/endivetally-policy/src/endivetally_policy/estimates.py
@@ -9,7 +9,6 @@
 _PRIOR_P95_FACTOR: Final = 3.0
 _QUANTILE_EVERY: Final = 32
 _MS_PER_S: Final = 1000.0
-_P05: Final = 0.05
 _P50: Final = 0.5
 _P95: Final = 0.95
 
@@ -39,11 +38,6 @@
         """Moving average of the run time."""
         return self._mean_s
 
-    @property
-    def p05_s(self) -> float:
-        """Run time that few tasks stay below; 0 while too little is known."""
-        return self._quantile(_P05, 0)
-
     @property
     def p50_s(self) -> float:
         """Median run time."""
@@ -54,6 +48,12 @@
         """Run time that few tasks exceed."""
         return self._quantile(_P95, self._declared_s * _PRIOR_P95_FACTOR)
 
+    def declare(self, declared_s: float) -> None:
+        """Set the prior, unless tasks were observed."""
+        if self._count == 0:
+            self._mean_s = declared_s
+            self._declared_s = declared_s
+
     def observe(self, run_s: float) -> None:
         """Take in the run time of a task that ended whole."""
         self._count += 1
@@ -87,9 +87,7 @@
 
     def declare(self, service: str, run_ms: float) -> None:
         """Set the prior of a service that nothing is known of yet."""
-        known = self._services.get(service)
-        if known is None or known.count == 0:
-            self._services[service] = RunTimeEstimate(run_ms / _MS_PER_S)
+        self.of(service).declare(run_ms / _MS_PER_S)
 
     def observe(self, service: str, run_ms: float) -> None:
         """Take in the run time of a task that ended whole."""
--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/retries.py
@@ -0,0 +1,163 @@
+"""Which bindings that ended without a result are bound again."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final
+
+from endivetally_config.text import ServiceKind
+from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import RunState
+
+_MAX_STARTS: Final = 4
+_FREE_REFUSALS: Final = 3
+_FIRST_DELAY_S: Final = 0.01
+_LONGEST_DELAY_S: Final = 1.0
+
+
+class Rebind(enum.Enum):
+    """Whether a task may be bound again."""
+
+    ALWAYS = 'always'
+    IN_BUDGET = 'in budget'
+    NEVER = 'never'
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRule:
+    """What follows from one status.
+
+    :param give_up: error kind when it is not bound again.
+    """
+
+    rebind: Rebind
+    give_up: ErrorKind
+
+
+_REFUSED: Final = RetryRule(Rebind.ALWAYS, ErrorKind.DEADLINE_EXCEEDED)
+_CANCELLED: Final = RetryRule(Rebind.NEVER, ErrorKind.CANCELLED)
+
+IDEMPOTENT_RULES: Final[Mapping[str, RetryRule]] = MappingProxyType(
+    {
+        'refused': _REFUSED,
+        'cancelled': _CANCELLED,
+        'failed': RetryRule(Rebind.IN_BUDGET, ErrorKind.TASK_FAILED),
+        'unknown': RetryRule(Rebind.IN_BUDGET, ErrorKind.OUTCOME_UNKNOWN),
+    }
+)
+EXCLUSIVE_RULES: Final[Mapping[str, RetryRule]] = MappingProxyType(
+    {
+        'refused': _REFUSED,
+        'cancelled': _CANCELLED,
+        'failed': RetryRule(Rebind.NEVER, ErrorKind.TASK_FAILED),
+        'unknown': RetryRule(Rebind.NEVER, ErrorKind.OUTCOME_UNKNOWN),
+    }
+)
+
+
+class RetryBudget:
+    """Bounds retries to a share of a service's first bindings.
+
+    :param share: retries earned by each first binding.
+    :param burst: retries that may be saved up.
+    """
+
+    def __init__(self, share: float = 0.1, burst: float = 10) -> None:
+        self._share = share
+        self._burst = burst
+        self._tokens = burst
+
+    def earn(self, count: int = 1) -> None:
+        """Take in first bindings."""
+        self._tokens = min(self._burst, self._tokens + count * self._share)
+
+    def spend(self) -> bool:
+        """Take one retry, if the budget has one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class EndedBinding:
+    """A binding that ended without a result.
+
+    :param status: status of its `Outcome`.
+    :param refusals: bindings of the task that were refused, this one included.
+    :param starts: bindings of the task that started or may have, this one
+        included.
+    :param deadline: monotonic seconds.
+    """
+
+    status: str
+    service: str
+    kind: ServiceKind
+    refusals: int
+    starts: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """What becomes of a task.
+
+    :param error: kind to answer with; ``None`` binds the task again.
+    :param ran: what the caller is told with the error.
+    :param delay_s: wait before the task is queued again.
+    """
+
+    error: ErrorKind | None
+    ran: RunState | None = None
+    delay_s: float = 0
+
+
+class RetryPolicy:
+    """Decides on retries, with one budget for each service."""
+
+    def __init__(self, share: float = 0.1, burst: float = 10) -> None:
+        self._share = share
+        self._burst = burst
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def bound(self, service: str, count: int = 1) -> None:
+        """Take in first bindings of tasks; they earn retries."""
+        self.budget(service).earn(count)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service, which hedges share."""
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self._share, self._burst)
+        return self._budgets[service]
+
+    def decide(self, ended: EndedBinding, now: float) -> RetryDecision:
+        """Return what becomes of the task."""
+        idempotent = ended.kind is ServiceKind.IDEMPOTENT
+        rules = IDEMPOTENT_RULES if idempotent else EXCLUSIVE_RULES
+        rule = rules.get(ended.status, rules['unknown'])
+        if rule.rebind is Rebind.NEVER:
+            return RetryDecision(rule.give_up, _run_state(ended))
+        if now >= ended.deadline:
+            return RetryDecision(ErrorKind.DEADLINE_EXCEEDED, _run_state(ended))
+        if rule.rebind is Rebind.ALWAYS:
+            return RetryDecision(None, delay_s=_delay_s(ended.refusals))
+        if ended.starts < _MAX_STARTS and self.budget(ended.service).spend():
+            return RetryDecision(None)
+        return RetryDecision(rule.give_up, _run_state(ended))
+
+
+def _run_state(ended: EndedBinding) -> RunState:
+    if ended.starts == 0:
+        return RunState.NOT_RUN
+    if ended.status == 'failed':
+        return RunState.RAN
+    return RunState.UNKNOWN
+
+
+def _delay_s(refusals: int) -> float:
+    excess = refusals - _FREE_REFUSALS
+    if excess <= 0:
+        return 0
+    delay_s: float = _FIRST_DELAY_S * 2 ** min(excess, 10)
+    return min(_LONGEST_DELAY_S, delay_s)
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
@@ -158,11 +158,35 @@
         pool = self._pools.get(service)
         return 0 if pool is None else len(pool.queue)
 
+    def ahead(
+        self,
+        service: str,
+        priority: int,
+        team: str,
+        weight: int,
+        count: int,
+    ) -> int:
+        """Return how many waiting tasks start before the last of new ones."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return 0
+        return pool.queue.ahead(priority, team, weight, count)
+
+    def outstanding(self, service: str) -> int:
+        """Return the number of bound tasks that have not ended."""
+        pool = self._pools.get(service)
+        return 0 if pool is None else pool.outstanding
+
     def capacity(self, service: str) -> int:
         """Return the slots of open agents that are not ejected."""
         pool = self._pools.get(service)
         return 0 if pool is None else pool.capacity
 
+    def available(self, service: str) -> int:
+        """Return the part of the capacity that other entries' tasks leave."""
+        pool = self._pools.get(service)
+        return 0 if pool is None else pool.available
+
     def agents(self, service: str) -> list[AgentView]:
         """Return what is known of the agents of a service."""
         pool = self._pools.get(service)
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/fair_queue.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/fair_queue.py
@@ -66,6 +66,15 @@
         self._teams[task.team].pop(task.name)
         self._size -= 1
 
+    def ahead(self, team: str, weight: int, count: int) -> int:
+        own = len(self._teams.get(team, ()))
+        turns = -(-(own + count) // max(1, weight))
+        return own + sum(
+            min(len(queue), turns * max(1, next(iter(queue.values())).weight))
+            for other, queue in self._teams.items()
+            if other != team and queue
+        )
+
     def _skip_empty_teams(self) -> str:
         while not self._teams[self._turns[0]]:
             self._drop_first_team()
@@ -158,11 +167,18 @@
             heapq.heappop(self._deadlines)
         return None
 
-    def ahead_of(self, priority: int) -> int:
-        """Return the number of tasks of this priority and of higher ones."""
-        return sum(
-            len(ready) for number, ready in self._classes.items() if number <= priority
-        )
+    def ahead(self, priority: int, team: str, weight: int, count: int) -> int:
+        """Return how many tasks are popped before the last of new ones.
+
+        :param weight: share of the team relative to other teams.
+        :param count: number of the new tasks of the team.
+        """
+        ahead = 0
+        for number in self._priorities:
+            if number < priority:
+                ahead += len(self._classes[number])
+        same = self._classes.get(priority)
+        return ahead if same is None else ahead + same.ahead(team, weight, count)
 
     def _class_of(self, task: 'PendingTask') -> _PriorityClass:
         if task.priority not in self._classes:
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
@@ -143,10 +143,33 @@
     def waiting(self, service: str) -> int:
         """Return the number of waiting tasks of a service."""
 
+    @abstractmethod
+    def ahead(
+        self,
+        service: str,
+        priority: int,
+        team: str,
+        weight: int,
+        count: int,
+    ) -> int:
+        """Return how many waiting tasks start before the last of new ones.
+
+        :param weight: share of the team relative to other teams.
+        :param count: number of the new tasks of the team.
+        """
+
+    @abstractmethod
+    def outstanding(self, service: str) -> int:
+        """Return the number of bound tasks that have not ended."""
+
     @abstractmethod
     def capacity(self, service: str) -> int:
         """Return the slots of open agents that are not ejected."""
 
+    @abstractmethod
+    def available(self, service: str) -> int:
+        """Return the part of the capacity that other entries' tasks leave."""
+
     @abstractmethod
     def agents(self, service: str) -> list[AgentView]:
         """Return what is known of the agents of a service."""
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
@@ -106,11 +106,30 @@
         queue = self._queues.get(service)
         return 0 if queue is None else len(queue)
 
+    def ahead(
+        self,
+        service: str,
+        priority: int,
+        team: str,
+        weight: int,
+        count: int,
+    ) -> int:
+        """Return 0: nothing is kept back."""
+        return 0
+
+    def outstanding(self, service: str) -> int:
+        """Return 0: outcomes are ignored."""
+        return 0
+
     def capacity(self, service: str) -> int:
         """Return the slots of all agents."""
         identities = self._agents.get(service, {}).values()
         return sum(identity.slots for identity in identities)
 
+    def available(self, service: str) -> int:
+        """Return the slots of all agents."""
+        return self.capacity(service)
+
     def agents(self, service: str) -> list[AgentView]:
         """Return the agents of a service."""
         return [
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -50,9 +50,15 @@
         self._admitted = AgentRanking()
         self._racks: Counter[str] = Counter()
         self._outstanding = 0
+        self._running = 0
         self._capacity: int | None = None
         self._reinstated_at = float('-inf')
 
+    @property
+    def outstanding(self) -> int:
+        """Bound tasks that have not ended."""
+        return self._outstanding
+
     @property
     def capacity(self) -> int:
         """Slots of open agents that are not ejected."""
@@ -65,6 +71,12 @@
             )
         return self._capacity
 
+    @property
+    def available(self) -> int:
+        """Part of the capacity that the tasks of other entries leave."""
+        others_running = max(0, self._running - self._outstanding)
+        return max(0, self.capacity - others_running)
+
     def views(self) -> list[AgentView]:
         """Return what is known of each agent."""
         return [self._view(agent) for agent in self._agents.values()]
@@ -79,6 +91,7 @@
         """Forget an agent; its tasks are no longer outstanding."""
         agent.credits = 0
         agent.state = 'closed'
+        self._running -= agent.running
         self._add_outstanding(agent, -agent.outstanding)
         self.changed(agent)
         self._agents.pop(agent.incarnation, None)
@@ -98,6 +111,7 @@
 
     def state_changed(self, agent: TrackedAgent, state: str, running: int) -> None:
         """Take in a state report of an agent."""
+        self._running += running - agent.running
         agent.running = running
         if state == agent.state:
             return
