--- a/libs/endivetally-standins/src/endivetally_standins/table_service.py
+++ b/libs/endivetally-standins/src/endivetally_standins/table_service.py
@@ -206,9 +206,12 @@
     ] = '',
     write_ms: Annotated[int, typer.Option(help='Milliseconds per write.')] = WRITE_MS,
     read_ms: Annotated[int, typer.Option(help='Milliseconds per read.')] = READ_MS,
+    writes_per_s: Annotated[
+        int, typer.Option(help='Writes beyond it queue; 0 sets no bound.')
+    ] = 0,
 ) -> None:
     """Serve a stand-in of the platform's table service."""
-    table = MemoryTable(write_ms=write_ms, read_ms=read_ms)
+    table = MemoryTable(write_ms=write_ms, read_ms=read_ms, writes_per_s=writes_per_s)
     asyncio.run(serve(table, host, port, ready_file))
 
 
--- a/libs/endivetally-table/src/endivetally_table/batches.py
+++ b/libs/endivetally-table/src/endivetally_table/batches.py
@@ -7,10 +7,13 @@
 from endivetally_core.messages import Identifier
 from endivetally_core.messages import Sequence
 
+from endivetally_table.table import Put
 from endivetally_table.table import Row
 from endivetally_table.table import Table
+from endivetally_table.table import Transaction
 
 JOURNAL_PREFIX: Final = 'journal/'
+MAX_DELETIONS: Final = 128
 
 
 class JournalEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -79,6 +82,21 @@
     return [decode_batch(row) for row in await table.scan(journal_prefix(incarnation))]
 
 
+async def delete_journal(table: Table, incarnation: str) -> int:
+    """Delete all batches of an entry that has ended, past the retention.
+
+    :return: number of rows deleted.
+    :raises TableUnavailable: when the service does not answer; call again.
+    """
+    rows = await table.scan(journal_prefix(incarnation))
+    for start in range(0, len(rows), MAX_DELETIONS):
+        deletions = tuple(
+            Put(row.key, None) for row in rows[start : start + MAX_DELETIONS]
+        )
+        await table.commit(Transaction((), deletions))
+    return len(rows)
+
+
 def agents_in_use(batches: Ordered[JournalBatch], sequence: int) -> frozenset[str]:
     """Return the agents that may have been given tasks of a request.
 
--- a/libs/endivetally-table/src/endivetally_table/journal.py
+++ b/libs/endivetally-table/src/endivetally_table/journal.py
@@ -34,6 +34,7 @@
 from endivetally_table.table import Transaction
 
 SETTLE_ATTEMPTS: Final = 3
+SETTLE_TIMEOUT_S: Final = 2.0
 PROBE_INTERVAL_S: Final = 0.5
 _WRITE_ID_BYTES: Final = 8
 
@@ -60,6 +61,7 @@
     :param table: the platform's table service.
     :param identity: the entry, registered in the table.
     :param probe_interval_s: seconds between probes during an outage.
+    :param settle_timeout_s: seconds until a write is given up.
     """
 
     def __init__(
@@ -68,11 +70,13 @@
         identity: EntryIdentity,
         *,
         probe_interval_s: float = PROBE_INTERVAL_S,
+        settle_timeout_s: float = SETTLE_TIMEOUT_S,
     ) -> None:
         self.counters = JournalCounters()
         self._table = table
         self._incarnation = identity.incarnation
         self._probe_interval_s = probe_interval_s
+        self._settle_timeout_s = settle_timeout_s
         self._number = 0
         self._admitted: frozenset[str] = frozenset()
         self._pending = PendingBatch()
@@ -103,7 +107,7 @@
         return self._admitted
 
     async def record(self, entry: JournalEntry) -> None:
-        """Make an entry durable.
+        """Make an entry durable; a caller that gives up never starts it.
 
         :raises RequestError: the table is unavailable; never start the sequence.
         :raises Fenced: another entry has taken over.
@@ -189,8 +193,8 @@
         number = self._number
         self._number += 1
         try:
-            await self._commit(number, batch)
-        except TableUnavailable:
+            await asyncio.wait_for(self._commit(number, batch), self._settle_timeout_s)
+        except (TableUnavailable, TimeoutError):
             self._refuse(taken)
         except Fenced as error:
             self._end(taken, error)
--- a/libs/endivetally-table/src/endivetally_table/memory.py
+++ b/libs/endivetally-table/src/endivetally_table/memory.py
@@ -1,6 +1,9 @@
 """A table service in memory with the faults of the platform's one."""
 
 import asyncio
+import time
+from bisect import bisect_left
+from bisect import insort
 from typing import Final
 
 import msgspec
@@ -12,6 +15,7 @@
 from endivetally_table.table import Transaction
 
 _MS_PER_S: Final = 1000
+_LAST_CHARACTER: Final = '\U0010ffff'
 
 
 class TableFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -42,19 +46,39 @@
     conflicts: int = 0
 
 
+class _Pacer:
+    """Spaces out calls to a number per second."""
+
+    def __init__(self, calls_per_s: int) -> None:
+        self._interval_s = 1 / calls_per_s if calls_per_s else 0
+        self._free_at = time.monotonic()
+
+    def reserve(self) -> float:
+        """Return the seconds to wait for the next free place."""
+        now = time.monotonic()
+        start = max(now, self._free_at)
+        self._free_at = start + self._interval_s
+        return start - now
+
+
 class MemoryTable(Table):
     """Keeps rows in a dict; each transaction is applied in one step.
 
     :param write_ms: milliseconds that a commit takes.
     :param read_ms: milliseconds that a read or scan takes.
+    :param writes_per_s: commits beyond it queue; 0 sets no bound.
     """
 
-    def __init__(self, *, write_ms: int = 0, read_ms: int = 0) -> None:
+    def __init__(
+        self, *, write_ms: int = 0, read_ms: int = 0, writes_per_s: int = 0
+    ) -> None:
         self.faults = TableFaults()
         self.stats = TableStats()
         self._write_ms = write_ms
         self._read_ms = read_ms
+        self._pacer = _Pacer(writes_per_s)
         self._rows: dict[str, Row] = {}
+        self._keys: list[str] = []
         self._late: list[Transaction] = []
 
     async def read(self, key: str) -> Row | None:
@@ -67,10 +91,13 @@
         """Return the rows whose key starts with the prefix, in key order."""
         await self._delay(self._read_ms)
         self.stats.reads += 1
-        return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
+        first = bisect_left(self._keys, prefix)
+        last = bisect_left(self._keys, prefix + _LAST_CHARACTER, first)
+        return [self._rows[key] for key in self._keys[first:last]]
 
     async def commit(self, transaction: Transaction) -> None:
         """Apply a transaction, then report as the faults say."""
+        await asyncio.sleep(self._pacer.reserve())
         await self._delay(self._write_ms)
         if self.faults.late_commits:
             self.faults.late_commits -= 1
@@ -115,10 +142,16 @@
 
     def _put(self, key: str, content: bytes | None) -> None:
         if content is None:
-            self._rows.pop(key, None)
+            self._delete(key)
             return
+        if key not in self._rows:
+            insort(self._keys, key)
         self._rows[key] = Row(key, content, self._version(key) + 1)
 
+    def _delete(self, key: str) -> None:
+        if self._rows.pop(key, None):
+            del self._keys[bisect_left(self._keys, key)]
+
     def _version(self, key: str) -> int:
         row = self._rows.get(key)
         return row.version if row else 0
--- a/tests/table/test_journal.py
+++ b/tests/table/test_journal.py
@@ -12,6 +12,7 @@
 from endivetally_table.batches import JournalBatch
 from endivetally_table.batches import JournalEntry
 from endivetally_table.batches import agents_in_use
+from endivetally_table.batches import delete_journal
 from endivetally_table.batches import read_journal
 from endivetally_table.directory import ShardDirectory
 from endivetally_table.entries import EntryRegistry
@@ -102,6 +103,15 @@
         assert await recorded(table) == [[0], [1]]
 
 
+class TestFlush:
+    async def test_waits_for_what_was_recorded_before(self, table, journal):
+        calls = [asyncio.create_task(journal.record(entry(row))) for row in (0, 1)]
+        await asyncio.sleep(0)
+        await journal.flush()
+        assert await recorded(table) == [[0, 1]]
+        await asyncio.gather(*calls)
+
+
 class TestFence:
     async def test_nothing_lands_after_the_fence(self, table, journal):
         await journal.record(entry(0))
@@ -139,6 +149,24 @@
         await journal.record(entry(3))
         assert await recorded(table) == [[3]]
 
+    async def test_slow_write_is_given_up(self, table):
+        journal = Journal(table, ALPHA, settle_timeout_s=0.001)
+        table.faults.slow_ms = 60_000
+        (error,) = await record_all(journal, 0)
+        assert error.ran is RunState.NOT_RUN
+        assert not journal.available
+        journal.close()
+
+    async def test_probe_finds_the_fence(self, table, journal):
+        table.faults.down = True
+        await record_all(journal, 0)
+        table.faults.down = False
+        await fence_alpha(table)
+        while not journal.fenced:
+            await asyncio.sleep(0.001)
+        with pytest.raises(Fenced):
+            await journal.record(entry(1))
+
     async def test_close_refuses_what_waits(self, journal):
         call = asyncio.create_task(journal.record(entry(0)))
         await asyncio.sleep(0)
@@ -205,3 +233,9 @@
         assert await journal.prune(31) == 1
         batches = await read_journal(table, ALPHA.incarnation)
         assert [batch.agents_added for batch in batches] == [('b',)]
+
+    async def test_journal_of_an_ended_entry_is_deleted(self, table, journal):
+        await journal.record(entry(0))
+        await fence_alpha(table)
+        assert await delete_journal(table, ALPHA.incarnation) == 1
+        assert await recorded(table) == []
