Serve requests through entries that own keys by shard

Cause: the first whole path needs the daemon between callers and agents. Ruled out: fencing every agent at each takeover. Not measured yet; the path needs the agent. Conclusion: front, owner, execution, dispatcher and recovery as separate parts.

--- a/libs/endivetally-config/src/endivetally_config/settings.py
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -7,6 +7,7 @@
 from endivetally_core.joining import Address
 from endivetally_core.messages import Identifier
 
+SchedulerName = Literal['credits', 'naive']
 LogLevel = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 Seconds = Annotated[int, msgspec.Meta(ge=1, le=86_400)]
 BodyBytes = Annotated[int, msgspec.Meta(ge=1, le=64 * 1024 * 1024)]
@@ -21,6 +22,7 @@
     :param seeds: HTTP addresses of entries to ask when the table is down.
     :param operator_token: secret of the operators' calls.
     :param ready_file: written with the bound ``host:port`` once it listens.
+    :param scheduler: ``naive`` is the baseline of the bench.
     :param allow_shaping: accept ``/internal/shaping`` (bench and scenarios).
     """
 
@@ -36,6 +38,7 @@
     max_body_bytes: BodyBytes = 8 * 1024 * 1024
     key_retention_s: Seconds = 900
     drain_timeout_s: Seconds = 60
+    scheduler: SchedulerName = 'credits'
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/libs/endivetally-entry/src/endivetally_entry/__main__.py
@@ -0,0 +1,26 @@
+"""Runs an entry: ``python -m endivetally_entry SETTINGS``."""
+
+import sys
+from pathlib import Path
+
+from endivetally_config.checks import load_settings
+from endivetally_config.exceptions import SettingsInvalid
+from endivetally_config.settings import EntrySettings
+
+from endivetally_entry import run_entry
+
+EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Run an entry with the settings file that is the first argument."""
+    try:
+        settings = load_settings(Path(sys.argv[1]), EntrySettings)
+    except SettingsInvalid as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_USAGE
+    return run_entry(settings)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -0,0 +1,103 @@
+"""Memory of the keyed requests that this entry owns or owned."""
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+
+from endivetally_core.errors import EndivetallyError
+from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import RequestError
+
+from endivetally_entry.executions import Execution
+from endivetally_entry.requests import Answer
+from endivetally_entry.requests import KeyName
+
+
+@dataclass(slots=True)
+class KeyRecord:
+    """A keyed request and, once it has one, its answer.
+
+    :param execution: set while tasks run.
+    :param journalled: tasks may have started under this entry's name.
+    :param finished_at: time on the event loop's clock.
+    """
+
+    name: KeyName
+    body_hash: bytes
+    answer: 'asyncio.Future[Answer]' = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future(),
+    )
+    execution: Execution | None = None
+    journalled: bool = False
+    finished_at: float = 0
+
+
+class KeyLedger:
+    """Records by key, forgotten after the retention.
+
+    :param retention_s: how long an answer is remembered.
+    """
+
+    def __init__(self, retention_s: float) -> None:
+        self._retention_s = retention_s
+        self._records: dict[KeyName, KeyRecord] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Requests without an answer."""
+        return sum(not record.answer.done() for record in self._records.values())
+
+    @property
+    def remembered(self) -> int:
+        """All records."""
+        return len(self._records)
+
+    def find(self, name: KeyName, body_hash: bytes) -> KeyRecord | None:
+        """Return the record of a key.
+
+        :raises RequestError: when the key came with another body before.
+        """
+        record = self._records.get(name)
+        if record is not None and record.body_hash != body_hash:
+            raise RequestError(
+                ErrorKind.KEY_CONFLICT,
+                'the key was used with another body',
+            )
+        return record
+
+    def get(self, name: KeyName) -> KeyRecord | None:
+        """Return the record of a key, whatever its body."""
+        return self._records.get(name)
+
+    def open(self, name: KeyName, body_hash: bytes) -> KeyRecord:
+        """Start a record."""
+        record = KeyRecord(name, body_hash)
+        self._records[name] = record
+        return record
+
+    def finish(self, record: KeyRecord, answer: Answer, *, remember: bool) -> None:
+        """Set the answer; without ``remember`` the key may come again."""
+        record.finished_at = asyncio.get_running_loop().time()
+        record.execution = None
+        if not remember:
+            self._records.pop(record.name, None)
+        if not record.answer.done():
+            record.answer.set_result(answer)
+
+    def abandon(self, record: KeyRecord, error: EndivetallyError) -> None:
+        """Forget a record whose key another entry owns now."""
+        self._records.pop(record.name, None)
+        record.execution = None
+        if not record.answer.done():
+            record.answer.set_exception(error)
+
+    def prune(self) -> None:
+        """Forget answers past the retention."""
+        oldest = asyncio.get_running_loop().time() - self._retention_s
+        expired = [
+            name
+            for name, record in self._records.items()
+            if record.answer.done() and record.finished_at < oldest
+        ]
+        for name in expired:
+            self._records.pop(name)
--- /dev/null
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -0,0 +1,204 @@
+"""Start, periodic work and graceful stop of an entry."""
+
+import asyncio
+import logging
+import random
+import signal
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Final
+
+from endivetally_core.errors import EndivetallyError
+from endivetally_core.errors import Fenced
+from endivetally_core.errors import LinkClosed
+from endivetally_core.errors import TableUnavailable
+from endivetally_core.messages import AgentNews
+from endivetally_core.messages import EntryState
+
+from endivetally_entry.entry import Entry
+from endivetally_entry.entry_links import Succession
+
+if TYPE_CHECKING:
+    from endivetally_config.settings import EntrySettings
+
+_log = logging.getLogger(__name__)
+
+TICK_S: Final = 0.25
+HEARTBEAT_S: Final = 1
+FROZEN_GAP_S: Final = 2
+MAP_INTERVAL_S: Final = 5
+PRUNE_INTERVAL_S: Final = 30
+START_RETRY_S: Final = 0.5
+DRAIN_POLL_S: Final = 0.05
+BALANCER_GRACE_S: Final = 1
+LINGER_S: Final = 0.3
+EXIT_OK: Final = 0
+EXIT_FENCED: Final = 75
+
+
+class Lifecycle:
+    """Runs an entry from its start to its end.
+
+    :param entry: a wired entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._stopping = asyncio.Event()
+        self._succession = Succession(
+            entry.identity,
+            entry.entry_links,
+            entry.ownership.take_over,
+        )
+        self._exit_code = EXIT_OK
+
+    async def run(self) -> int:
+        """Serve until a stop is asked for; return the exit code."""
+        entry = self._entry
+        self._handle_signals()
+        async with entry.stack:
+            entry.spawn(entry.dispatcher.run())
+            entry.spawn(self._join_until_done())
+            entry.spawn(self._tick_forever())
+            self._write_ready_file()
+            await self._stopping.wait()
+            await self._drain()
+            entry.cancel_tasks()
+        return self._exit_code
+
+    def stop(self) -> None:
+        """Ask for a graceful stop."""
+        self._stopping.set()
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+
+    def _write_ready_file(self) -> None:
+        if self._entry.settings.ready_file:
+            ready_file = Path(self._entry.settings.ready_file)
+            ready_file.write_text(f'{self._entry.identity.address}\n')
+
+    async def _join_until_done(self) -> None:
+        """Register in the table; until it answers, learn from other entries."""
+        while True:
+            try:
+                await self._join()
+            except TableUnavailable:
+                await self._join_seeds()
+                await asyncio.sleep(START_RETRY_S)
+            except Fenced:
+                self._fenced()
+                return
+            else:
+                break
+        self._entry.state = 'open'
+        _log.info('entry open', extra={'incarnation': self._entry.identity.incarnation})
+        await self._refresh_forever()
+
+    async def _join(self) -> None:
+        entry = self._entry
+        await entry.registry.register(entry.identity)
+        await entry.keeper.load(entry.table)
+        await entry.ownership.start()
+        await self._connect_entries()
+
+    async def _join_seeds(self) -> None:
+        for seed in self._entry.settings.seeds:
+            try:
+                await self._entry.entry_links.connect_seed(seed)
+            except LinkClosed:
+                continue
+        if self._entry.keeper.version:
+            self._entry.state = 'open'
+
+    async def _connect_entries(self) -> None:
+        for identity in await self._entry.registry.live():
+            self._entry.entry_links.connect(identity)
+
+    async def _refresh_forever(self) -> None:
+        while True:
+            await asyncio.sleep(MAP_INTERVAL_S * random.uniform(0.8, 1.2))
+            try:
+                await self._refresh()
+            except TableUnavailable:
+                _log.debug('table not read')
+            except EndivetallyError:
+                _log.exception('refresh failed')
+
+    async def _refresh(self) -> None:
+        entry = self._entry
+        await entry.keeper.load(entry.table)
+        await entry.ownership.refresh()
+        await self._connect_entries()
+        former = {owner.incarnation for owner in entry.directory.shard_map.former}
+        if entry.identity.incarnation in former and entry.state == 'open':
+            self._fenced()
+
+    async def _tick_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        last_tick = loop.time()
+        next_heartbeat = last_tick
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = loop.time()
+            if now - last_tick > FROZEN_GAP_S:
+                self._entry.entry_links.restart_silence()
+            last_tick = now
+            if now >= next_heartbeat:
+                next_heartbeat = now + HEARTBEAT_S
+                self._send_heartbeats(now)
+            await self._look_for_failures()
+
+    async def _look_for_failures(self) -> None:
+        entry = self._entry
+        silent = entry.agent_links.mark_silent_agents()
+        if silent:
+            entry.entry_links.broadcast(AgentNews(silent))
+        if entry.journal.fenced and entry.state == 'open':
+            self._fenced()
+        if entry.state == 'open':
+            await self._succession.check()
+
+    def _send_heartbeats(self, now: float) -> None:
+        entry = self._entry
+        entry.quotas.tick(now)
+        entry.admission.set_entries(len(entry.known_identities()))
+        heartbeat = EntryState(entry.state, entry.quotas.demand)
+        entry.entry_links.broadcast(heartbeat)
+        entry.roster.broadcast(EntryState(entry.state))
+        entry.ledger.prune()
+
+    def _fenced(self) -> None:
+        _log.warning('this incarnation was fenced; stopping')
+        self._exit_code = EXIT_FENCED
+        self.stop()
+
+    async def _drain(self) -> None:
+        """Hand the shards over, finish what is in progress, then stop."""
+        entry = self._entry
+        entry.state = 'leaving'
+        await self._hand_over()
+        entry.entry_links.broadcast(EntryState('leaving'))
+        entry.roster.broadcast(EntryState('leaving'))
+        await asyncio.sleep(BALANCER_GRACE_S)
+        deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
+        while entry.open_requests and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        entry.server.stop()
+        await asyncio.sleep(LINGER_S)
+        _log.info('entry stopped')
+
+    async def _hand_over(self) -> None:
+        if self._exit_code == EXIT_FENCED:
+            return
+        try:
+            await self._entry.ownership.leave()
+        except (TableUnavailable, Fenced):
+            _log.warning('shards not handed over')
+
+
+async def run_lifecycle(settings: 'EntrySettings') -> int:
+    """Run an entry in the current event loop; return the exit code."""
+    return await Lifecycle(Entry(settings)).run()
--- /dev/null
+++ b/libs/endivetally-entry/src/endivetally_entry/recovery.py
@@ -0,0 +1,242 @@
+"""What former owners of a key did with it, from their journals and the agents."""
+
+import asyncio
+import itertools
+import logging
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import RequestError
+from endivetally_core.errors import RunState
+from endivetally_core.identifiers import shard_of
+from endivetally_core.messages import Fence
+from endivetally_core.messages import Outcome
+from endivetally_core.messages import Recall
+from endivetally_core.messages import Recalled
+from endivetally_core.messages import TaskName
+from endivetally_table.batches import JournalBatch
+from endivetally_table.batches import read_journal
+from endivetally_table.shards import SHARD_COUNT
+
+from endivetally_entry.requests import CallerRequest
+from endivetally_entry.requests import KeyName
+
+if TYPE_CHECKING:
+    from endivetally_table.table import Table
+
+    from endivetally_entry.roster import AgentRoster
+
+_log = logging.getLogger(__name__)
+
+RECALL_TIMEOUT_S = 3
+
+
+@dataclass(frozen=True, slots=True)
+class FormerRequest:
+    """A request in the journal of a former owner.
+
+    :param agents: incarnations of the agents that it may have used.
+    """
+
+    name: KeyName
+    owner: str
+    sequence: int
+    body_hash: bytes
+    agents: frozenset[str]
+
+
+@dataclass(slots=True)
+class _Findings:
+    """What the agents say about the tasks of one key."""
+
+    results: dict[int, bytes] = field(default_factory=dict)
+    running: set[TaskName] = field(default_factory=set)
+    failed: bool = False
+    lost: bool = False
+    unreachable: bool = False
+    settled: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def add(self, outcome: Outcome) -> None:
+        number = outcome.name.number
+        self.running.discard(outcome.name)
+        if not self.running:
+            self.settled.set()
+        if outcome.status == 'done':
+            if outcome.reason:
+                self.lost = True
+            else:
+                self.results[number] = outcome.body
+        elif outcome.status == 'running':
+            self.running.add(outcome.name)
+        elif outcome.status != 'refused':
+            self.failed = True
+
+
+class Recovery:
+    """History of former owners, and the recall of what their requests did.
+
+    :param retention_s: keys of older journal entries are forgotten.
+    """
+
+    def __init__(self, table: 'Table', roster: 'AgentRoster') -> None:
+        self._table = table
+        self._roster = roster
+        self._former: dict[KeyName, list[FormerRequest]] = {}
+        self._read: dict[str, frozenset[int]] = {}
+        self._recall_ids = itertools.count(1)
+        self._recalls: dict[int, asyncio.Future[Recalled]] = {}
+        self._late: dict[TaskName, _Findings] = {}
+
+    @property
+    def remembered(self) -> int:
+        """Keys in the history of former owners."""
+        return len(self._former)
+
+    def unread(self, owner: str, shards: frozenset[int]) -> frozenset[int]:
+        """Return the shards whose history at a former owner is not known here."""
+        return shards - self._read.get(owner, frozenset())
+
+    async def read_history(self, owner: str, shards: frozenset[int]) -> None:
+        """Read what a former owner journalled for shards that it has lost.
+
+        :raises TableUnavailable: when the table does not answer.
+        """
+        batches = await read_journal(self._table, owner)
+        unread = self.unread(owner, shards)
+        for former in _former_requests(owner, batches):
+            if shard_of(former.name.team, former.name.key, SHARD_COUNT) in unread:
+                self._former.setdefault(former.name, []).append(former)
+        self._read[owner] = self._read.get(owner, frozenset()) | shards
+        _log.info('journal read', extra={'owner': owner, 'batches': len(batches)})
+
+    def former_requests(self, name: KeyName) -> list[FormerRequest]:
+        """Return what former owners journalled for a key, oldest first."""
+        return self._former.get(name, [])
+
+    async def results_of_former_owners(
+        self,
+        request: CallerRequest,
+    ) -> dict[int, bytes]:
+        """Return results that tasks of the key have had already.
+
+        Fences the former owners at every agent that they may have used. A task
+        without a result then has not started and never will under their names.
+
+        :raises RequestError: when the key had another body, a task failed, a
+            result is lost or an agent that may have run a task is silent.
+        """
+        former = self.former_requests(request.name)
+        if not former:
+            return {}
+        if any(prior.body_hash != request.body_hash for prior in former):
+            raise RequestError(ErrorKind.KEY_CONFLICT)
+        findings = _Findings()
+        for prior in former:
+            await self._recall_everywhere(prior, findings)
+        await self._wait_for_running(findings, request.deadline)
+        self._check(findings, request)
+        return findings.results
+
+    def recalled(self, message: Recalled) -> None:
+        """Take an agent's report."""
+        future = self._recalls.pop(message.recall_id, None)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    def outcome_received(self, outcome: Outcome) -> bool:
+        """Take the outcome of a binding that still ran when it was recalled."""
+        findings = self._late.pop(outcome.name, None)
+        if findings is None:
+            return False
+        findings.add(outcome)
+        return True
+
+    async def _recall_everywhere(
+        self,
+        prior: FormerRequest,
+        findings: _Findings,
+    ) -> None:
+        reports = await asyncio.gather(
+            *(self._recall(prior, agent) for agent in prior.agents),
+        )
+        for report in reports:
+            if report is None:
+                findings.unreachable = True
+                continue
+            for outcome in report.outcomes:
+                findings.add(outcome)
+
+    async def _recall(self, prior: FormerRequest, agent: str) -> Recalled | None:
+        known = self._roster.get(agent)
+        if known is None or known.link is None:
+            return None
+        recall_id = next(self._recall_ids)
+        future: asyncio.Future[Recalled] = asyncio.get_running_loop().create_future()
+        self._recalls[recall_id] = future
+        self._roster.post(agent, Fence(prior.owner))
+        self._roster.post(agent, Recall(recall_id, prior.owner, prior.sequence))
+        try:
+            return await asyncio.wait_for(future, RECALL_TIMEOUT_S)
+        except TimeoutError:
+            self._recalls.pop(recall_id, None)
+            return None
+
+    async def _wait_for_running(self, findings: _Findings, deadline: float) -> None:
+        if not findings.running:
+            return
+        findings.settled.clear()
+        for name in findings.running:
+            self._late[name] = findings
+        left_s = deadline - asyncio.get_running_loop().time()
+        try:
+            await asyncio.wait_for(findings.settled.wait(), left_s)
+        except TimeoutError as error:
+            raise RequestError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                'it still runs',
+                ran=RunState.RAN,
+            ) from error
+
+    def _check(self, findings: _Findings, request: CallerRequest) -> None:
+        if findings.failed:
+            raise RequestError(ErrorKind.TASK_FAILED)
+        if findings.lost:
+            raise RequestError(ErrorKind.ANSWER_LOST)
+        if findings.unreachable and len(findings.results) < len(request.tasks):
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                'an agent that may have run it does not answer',
+            )
+
+
+def _former_requests(owner: str, batches: list[JournalBatch]) -> list[FormerRequest]:
+    """Return the requests of a journal, newest first.
+
+    Walks backwards, so that the agents added after a request are known when it
+    is reached; those admitted before it are added from a forward walk.
+    """
+    former: list[FormerRequest] = []
+    added_later: frozenset[str] = frozenset()
+    admitted = _admitted_before(batches)
+    for batch, before in zip(reversed(batches), reversed(admitted), strict=True):
+        agents = before | added_later | frozenset(batch.agents_added)
+        for entry in reversed(batch.entries):
+            name = KeyName(entry.team, entry.service, entry.key)
+            former.append(
+                FormerRequest(name, owner, entry.sequence, entry.body_hash, agents),
+            )
+        added_later |= frozenset(batch.agents_added)
+    return former
+
+
+def _admitted_before(batches: list[JournalBatch]) -> list[frozenset[str]]:
+    """Return the agents admitted when each batch was written."""
+    admitted: list[frozenset[str]] = []
+    current: frozenset[str] = frozenset()
+    for batch in batches:
+        admitted.append(current)
+        current -= frozenset(batch.agents_removed)
+        current |= frozenset(batch.agents_added)
+    return admitted
