Add the command line, the burn report and example files

Commands are imported when they are called, so that a daemon started through the command line does not load plots and histograms. A submission is checked before it is sent; its exit code tells a conflict (4) from an unsettled change (3). The burn report merges the rings of all entries that the given ones know and says which of them gave no counts.

--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -1,12 +1,56 @@
 """Command line of endivetally."""
 
+import importlib
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+from typing import Final
+
 import typer
+from typer.core import TyperGroup
+
+EPILOG: Final = (
+    'Exit codes: 0 done, 1 a check failed or the call was refused, 2 wrong usage, '
+    '3 no answer or the platform is down, 4 conflict with another submission.'
+)
+
+# Modules of the commands, each with a Typer application named ``app``. They are
+# imported when they are called, so that a daemon does not load the reports.
+COMMANDS: Final[Mapping[str, str]] = MappingProxyType(
+    {
+        'serve': 'endivetally.cli_serve',
+        'config': 'endivetally.cli_config',
+        'status': 'endivetally.cli_status',
+        'report': 'endivetally.cli_report',
+    },
+)
+
+
+class LazyGroup(TyperGroup):
+    """Group that imports the module of a command when it is needed."""
+
+    def list_commands(self, ctx: Any) -> list[str]:
+        """Return the names of all commands."""
+        return list(COMMANDS)
+
+    def get_command(self, ctx: Any, cmd_name: str) -> Any:
+        """Import a command, if there is one of that name."""
+        module_name = COMMANDS.get(cmd_name)
+        if module_name is None:
+            return None
+        command = typer.main.get_command(importlib.import_module(module_name).app)
+        command.name = cmd_name
+        return command
+
 
-app = typer.Typer(no_args_is_help=True, help='A dispatcher for sub-second tasks.')
-serve = typer.Typer(no_args_is_help=True, help='Run a daemon.')
-app.add_typer(serve, name='serve')
+app = typer.Typer(
+    cls=LazyGroup,
+    no_args_is_help=True,
+    add_completion=False,
+    epilog=EPILOG,
+)
 
 
-@serve.callback()
-def _serve() -> None:
-    """Run a daemon."""
+@app.callback()
+def _endivetally() -> None:
+    """A dispatcher for sub-second tasks."""
--- /dev/null
+++ b/libs/endivetally/src/endivetally/cli_config.py
@@ -0,0 +1,151 @@
+"""Commands for the operators' text."""
+
+import asyncio
+import datetime
+import getpass
+import json
+import pathlib
+from typing import Annotated
+
+import msgspec
+import typer
+from endivetally_config.checks import check_text
+from endivetally_config.exceptions import Fault
+from endivetally_config.exceptions import TextInvalid
+from rich.console import Console
+from rich.table import Table
+
+from endivetally.cli_client import DEFAULT_TIMEOUT_S
+from endivetally.cli_client import OperatorClient
+from endivetally.cli_common import EntryOption
+from endivetally.cli_common import ExitCode
+from endivetally.cli_common import JsonOption
+from endivetally.cli_common import TimeoutOption
+from endivetally.cli_common import TokenFileOption
+from endivetally.cli_common import TokenOption
+from endivetally.cli_common import exit_on_errors
+from endivetally.cli_common import print_json
+from endivetally.cli_common import read_token
+
+TextArgument = Annotated[
+    pathlib.Path,
+    typer.Argument(metavar='FILE', exists=True, dir_okay=False, help='Text in JSON.'),
+]
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+
+class CheckResult(msgspec.Struct, frozen=True):
+    """Output of ``config check --json``."""
+
+    valid: bool
+    faults: list[Fault]
+
+
+@app.callback()
+def _config() -> None:
+    """Check, submit and follow the operators' text."""
+
+
+@app.command('check')
+def check(file: TextArgument, as_json: JsonOption = False) -> None:
+    """Check a text without submitting it; every fault is listed with its path."""
+    faults = _find_faults(file.read_bytes())
+    if as_json:
+        print_json(CheckResult(not faults, list(faults)))
+    else:
+        for fault in faults:
+            typer.echo(str(fault))
+        typer.echo(f'{file}: {len(faults)} faults')
+    if faults:
+        raise typer.Exit(ExitCode.FAILED)
+
+
+@app.command('submit')
+def submit(
+    file: TextArgument,
+    entry: EntryOption,
+    based_on: Annotated[
+        int,
+        typer.Option(min=0, help='Version that was edited; 0 for the first text.'),
+    ],
+    token: TokenOption = '',
+    token_file: TokenFileOption = None,
+    submitter: Annotated[
+        str,
+        typer.Option(help='Name for the history; by default the login name.'),
+    ] = '',
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Check a text and put it in force.
+
+    Exits with 4 when another version is in force; read it, merge and submit
+    again. After exit 3, read the history before you submit again: the change
+    may have taken effect.
+    """
+    encoded = file.read_bytes()
+    client = OperatorClient(entry, read_token(token, token_file), timeout_s)
+    with exit_on_errors():
+        check_text(encoded)
+        version = asyncio.run(
+            client.submit_text(encoded, based_on, submitter or getpass.getuser()),
+        )
+    if as_json:
+        print_json({'version': version})
+    else:
+        typer.echo(f'version {version} is in force')
+
+
+@app.command('show')
+def show(
+    entry: EntryOption,
+    token: TokenOption = '',
+    token_file: TokenFileOption = None,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Print the text in force; its version goes to the standard error stream."""
+    client = OperatorClient(entry, read_token(token, token_file), timeout_s)
+    with exit_on_errors():
+        current = asyncio.run(client.read_text())
+    if as_json:
+        print_json(current)
+        return
+    typer.echo(f'version {current.version}', err=True)
+    typer.echo(json.dumps(msgspec.to_builtins(current.text), indent=2))
+
+
+@app.command('history')
+def history(
+    entry: EntryOption,
+    token: TokenOption = '',
+    token_file: TokenFileOption = None,
+    limit: Annotated[int, typer.Option(min=1, help='Newest versions to list.')] = 20,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """List who changed the text and when, newest last."""
+    client = OperatorClient(entry, read_token(token, token_file), timeout_s)
+    with exit_on_errors():
+        changes = asyncio.run(client.read_history()).changes[-limit:]
+    if as_json:
+        print_json(changes)
+        return
+    table = Table('version', 'submitter', 'time')
+    for change in changes:
+        moment = datetime.datetime.fromtimestamp(change.changed_at_s, datetime.UTC)
+        table.add_row(
+            str(change.version),
+            change.submitter,
+            moment.isoformat(sep=' ', timespec='seconds'),
+        )
+    Console().print(table)
+
+
+def _find_faults(encoded: bytes) -> tuple[Fault, ...]:
+    try:
+        check_text(encoded)
+    except TextInvalid as error:
+        return error.faults
+    return ()
--- /dev/null
+++ b/libs/endivetally/src/endivetally/cli_report.py
@@ -0,0 +1,122 @@
+"""Commands that report on the service."""
+
+import asyncio
+import pathlib
+from typing import Annotated
+
+import typer
+from endivetally_core.burn import BurnSnapshot
+from endivetally_core.errors import EndivetallyError
+from endivetally_core.joining import Address
+from rich.console import Console
+
+from endivetally.burn import BurnReport
+from endivetally.burn import build_report
+from endivetally.burn_page import render_page
+from endivetally.burn_table import render_table
+from endivetally.cli_client import DEFAULT_TIMEOUT_S
+from endivetally.cli_client import OperatorClient
+from endivetally.cli_common import ENTRY_VARIABLE
+from endivetally.cli_common import JsonOption
+from endivetally.cli_common import TimeoutOption
+from endivetally.cli_common import TokenFileOption
+from endivetally.cli_common import TokenOption
+from endivetally.cli_common import exit_on_errors
+from endivetally.cli_common import parse_address
+from endivetally.cli_common import print_json
+from endivetally.cli_common import read_token
+
+EntriesOption = Annotated[
+    list[Address],
+    typer.Option(
+        '--entry',
+        parser=parse_address,
+        metavar='HOST:PORT',
+        envvar=ENTRY_VARIABLE,
+        help='HTTP address of an entry; may be repeated (spaces in the variable).',
+    ),
+]
+PeersOption = Annotated[
+    bool,
+    typer.Option(help='Ask the other entries that the given ones know as well.'),
+]
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+
+@app.callback()
+def _report() -> None:
+    """Report on the service."""
+
+
+@app.command('burn')
+def report_burn(
+    entry: EntriesOption,
+    token: TokenOption = '',
+    token_file: TokenFileOption = None,
+    peers: PeersOption = True,
+    html: Annotated[
+        pathlib.Path | None,
+        typer.Option('--html', help='Write one self-contained page to this file.'),
+    ] = None,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Report error budgets and burn rates of the last 6 hours.
+
+    Burn rates are given over 5 min, 30 min, 1 h and 6 h; 1 spends the error
+    budget exactly as fast as the objective allows. An entry counts from its
+    start on.
+    """
+    reader = _BurnReader(read_token(token, token_file), timeout_s)
+    with exit_on_errors():
+        report = asyncio.run(reader.read(entry, peers=peers))
+    if html is not None:
+        html.write_text(render_page(report))
+    if as_json:
+        print_json(report)
+    else:
+        Console().print(render_table(report))
+
+
+class _BurnReader:
+    """Collects the counts of several entries at once."""
+
+    def __init__(self, token: str, timeout_s: float) -> None:
+        self._token = token
+        self._timeout_s = timeout_s
+
+    async def read(self, entries: list[Address], *, peers: bool) -> BurnReport:
+        """Return the report over the entries.
+
+        :param peers: ask the entries that the given ones know as well.
+        """
+        found = set(entries)
+        if peers:
+            for known in await asyncio.gather(*map(self._find_peers, entries)):
+                found.update(known)
+        addresses = sorted(found, key=str)
+        answers = await asyncio.gather(
+            *(self._client(address).read_burn() for address in addresses),
+            return_exceptions=True,
+        )
+        snapshots = [each for each in answers if isinstance(each, BurnSnapshot)]
+        errors = [each for each in answers if isinstance(each, BaseException)]
+        if errors and not snapshots:
+            raise errors[0]
+        unreachable = [
+            str(address)
+            for address, answer in zip(addresses, answers, strict=True)
+            if not isinstance(answer, BurnSnapshot)
+        ]
+        return build_report(snapshots, unreachable)
+
+    async def _find_peers(self, entry: Address) -> list[Address]:
+        try:
+            status = await self._client(entry).read_status()
+        except EndivetallyError:
+            return []
+        return [parse_address(address) for address in status.entries]
+
+    def _client(self, entry: Address) -> OperatorClient:
+        return OperatorClient(entry, self._token, self._timeout_s)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/cli_status.py
@@ -0,0 +1,38 @@
+"""Command that shows what an entry sees."""
+
+import asyncio
+
+import typer
+from rich.console import Console
+
+from endivetally.cli_client import DEFAULT_TIMEOUT_S
+from endivetally.cli_client import OperatorClient
+from endivetally.cli_common import EntryOption
+from endivetally.cli_common import JsonOption
+from endivetally.cli_common import TimeoutOption
+from endivetally.cli_common import TokenFileOption
+from endivetally.cli_common import TokenOption
+from endivetally.cli_common import exit_on_errors
+from endivetally.cli_common import print_json
+from endivetally.cli_common import read_token
+from endivetally.status import render_status
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command('status')
+def show_status(
+    entry: EntryOption,
+    token: TokenOption = '',
+    token_file: TokenFileOption = None,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Show one entry: text version, shards, work of each service, targets."""
+    client = OperatorClient(entry, read_token(token, token_file), timeout_s)
+    with exit_on_errors():
+        status = asyncio.run(client.read_status())
+    if as_json:
+        print_json(status)
+    else:
+        Console().print(render_status(status))
--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import pathlib
 
 import pytest
 from endivetally_config.checks import check_text
@@ -13,6 +14,7 @@
 from endivetally_config.structure import MAX_DOCUMENT_BYTES
 from endivetally_core.errors import ErrorKind
 
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 TEXT = {
     'services': [
         {'name': 'lookup', 'kind': 'idempotent'},
@@ -264,6 +266,13 @@
         missing = ['$.data_centre', '$.rack', '$.listen', '$.table']
         assert paths == ['$.a', '$.b', *missing]
 
+    @pytest.mark.parametrize(
+        ('name', 'settings_type'),
+        [('entry.json', EntrySettings), ('agent.json', AgentSettings)],
+    )
+    def test_examples(self, name, settings_type):
+        assert load_settings(EXAMPLES / name, settings_type).data_centre == 'dc-1'
+
     def test_no_such_file(self, tmp_path):
         with pytest.raises(SettingsInvalid, match='can not be read'):
             load_settings(tmp_path / 'none.json', EntrySettings)
