Start the processes of a deployment on loopback

The demonstration, the bench and the scenario runner need the same set of processes: the stand-in of the table service, entries, agents and targets on ephemeral ports, ended by their process ids. Restarting a daemon reuses its port, since a target keeps the address of its agent. Not run yet against the daemons, which are being written.

--- /dev/null
+++ b/libs/endivetally/src/endivetally/fleet.py
@@ -0,0 +1,197 @@
+"""Starts the processes of a deployment on loopback and ends them again.
+
+For the demonstration, the bench and scenarios only: no daemon starts another
+process.
+"""
+
+import asyncio
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Final
+from typing import Self
+
+import msgspec
+from endivetally_config.text import OperatorsText
+from endivetally_core.joining import Address
+
+from endivetally.fleet_client import FleetClient
+from endivetally.fleet_commands import TABLE
+from endivetally.fleet_commands import agent_arguments
+from endivetally.fleet_commands import entry_arguments
+from endivetally.fleet_commands import table_arguments
+from endivetally.fleet_commands import target_arguments
+from endivetally.fleet_deployment import OPERATOR_TOKEN
+from endivetally.fleet_deployment import Deployment
+from endivetally.fleet_deployment import EntryPlace
+from endivetally.fleet_deployment import Worker
+from endivetally.fleet_group import ProcessGroup
+from endivetally.fleet_process import FleetError
+from endivetally.fleet_process import FleetProcess
+
+__all__ = ('Fleet', 'FleetError', 'FleetProcess')
+
+READY_TIMEOUT_S: Final = 30
+_POLL_S: Final = 0.1
+_STOP_ORDER: Final = ('target-', 'agent-', 'entry-', TABLE)
+
+
+class Fleet:
+    """The processes of a deployment, as an asynchronous context manager.
+
+    :param deployment: what to start.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.client = FleetClient(OPERATOR_TOKEN)
+        self._stack = AsyncExitStack()
+        self._group = ProcessGroup(Path())
+
+    @property
+    def directory(self) -> Path:
+        """Directory of settings, logs and records; removed at the end."""
+        return self._group.directory
+
+    @property
+    def table(self) -> FleetProcess:
+        """The stand-in of the platform's table service."""
+        return self._group.get(TABLE)
+
+    @property
+    def entries(self) -> list[FleetProcess]:
+        """Entries that run, in the order of the deployment."""
+        return self._group.alive(place.name for place in self.deployment.entries)
+
+    @property
+    def agents(self) -> list[FleetProcess]:
+        """Agents that run, in the order of the deployment."""
+        return self._group.alive(worker.agent for worker in self.deployment.workers)
+
+    @property
+    def targets(self) -> list[FleetProcess]:
+        """Targets that run, in the order of the deployment."""
+        return self._group.alive(worker.target for worker in self.deployment.workers)
+
+    def process(self, name: str) -> FleetProcess:
+        """Return the process of that name, running or not.
+
+        :raises FleetError: when it was never started.
+        """
+        return self._group.get(name)
+
+    def record_file(self, target: str) -> Path:
+        """Return the file in which a target records its starts."""
+        return self.directory / f'{target}.record.jsonl'
+
+    async def __aenter__(self) -> Self:
+        """Create the directory; nothing is started yet."""
+        directory = tempfile.TemporaryDirectory(prefix='endivetally-')
+        self._group = ProcessGroup(Path(self._stack.enter_context(directory)))
+        self._stack.callback(self.client.close)
+        self._stack.push_async_callback(self._group.stop_all, _STOP_ORDER)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End every process that was started and remove the directory."""
+        await self._stack.aclose()
+
+    async def start(self) -> None:
+        """Start everything, submit the text and wait until it is in force."""
+        await self.start_daemons()
+        await self.start_targets()
+        await self.wait_ready()
+        await self.apply_latencies()
+
+    async def start_daemons(self) -> None:
+        """Start the table service, the entries and the agents; submit the text.
+
+        Entries start one after another, so that each is a seed of the next.
+        """
+        await self.start_table()
+        for place in self.deployment.entries:
+            await self.start_entry(place)
+        await self.submit_text(self.deployment.text, based_on=0)
+        async with asyncio.TaskGroup() as group:
+            for worker in self.deployment.workers:
+                group.create_task(self.start_agent(worker))
+
+    async def start_targets(self) -> None:
+        """Start the targets of all workers."""
+        async with asyncio.TaskGroup() as group:
+            for worker in self.deployment.workers:
+                group.create_task(self.start_target(worker))
+
+    async def start_table(self) -> FleetProcess:
+        """Start the stand-in of the platform's table service."""
+        return await self._group.launch(TABLE, table_arguments(self._group))
+
+    async def start_entry(self, place: EntryPlace) -> FleetProcess:
+        """Start one entry, or start it anew at its former address."""
+        seeds = self._seeds(place.name)
+        arguments = entry_arguments(self._group, place, self.deployment, seeds)
+        return await self._group.launch(place.name, arguments)
+
+    async def start_agent(self, worker: Worker) -> FleetProcess:
+        """Start one agent, or start it anew at its former address."""
+        arguments = agent_arguments(self._group, worker, self._seeds(worker.agent))
+        return await self._group.launch(worker.agent, arguments)
+
+    async def start_target(self, worker: Worker) -> FleetProcess:
+        """Start one target; its agent must have been started."""
+        arguments = target_arguments(
+            self._group,
+            worker,
+            self.deployment,
+            str(self.record_file(worker.target)),
+        )
+        return await self._group.launch(worker.target, arguments)
+
+    async def submit_text(self, text: OperatorsText, based_on: int) -> None:
+        """Submit a text at the first entry.
+
+        :raises FleetError: when it is refused.
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await self.client.submit_text(self.entries[0].url, text, based_on)
+
+    async def wait_ready(self, version: int = 1) -> None:
+        """Wait until every entry has the text and knows every agent as open.
+
+        :raises FleetError: when that takes too long.
+        """
+        expected = len(self.targets)
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                for entry in self.entries:
+                    await self._wait_entry(entry, version, expected)
+        except TimeoutError as error:
+            raise FleetError('entries did not see every agent in time') from error
+
+    async def apply_latencies(self) -> None:
+        """Put the latency between data centres in force at every link."""
+        places = {place.name: place.data_centre for place in self.deployment.entries}
+        for worker in self.deployment.workers:
+            places[worker.agent] = worker.data_centre
+        for process in (*self.entries, *self.agents):
+            rules = self.deployment.latency_rules(places[process.name])
+            await self.client.shape(process.url, rules)
+
+    async def set_faults(self, process: FleetProcess, faults: msgspec.Struct) -> None:
+        """Post faults to a stand-in."""
+        await self.client.post(f'{process.url}/faults', msgspec.json.encode(faults))
+
+    def _seeds(self, name: str) -> tuple[Address, ...]:
+        return tuple(entry.address for entry in self.entries if entry.name != name)
+
+    async def _wait_entry(
+        self,
+        entry: FleetProcess,
+        version: int,
+        agents: int,
+    ) -> None:
+        while True:
+            status = await self.client.status(entry.url)
+            if status and status.version >= version and status.open_agents >= agents:
+                return
+            await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/fleet_deployment.py
@@ -0,0 +1,178 @@
+"""The two deployments of the brief, and a small one for the demonstration."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import Final
+
+from endivetally_config.text import OperatorsText
+from endivetally_config.text import Service
+from endivetally_config.text import ServiceKind
+from endivetally_config.text import Team
+from endivetally_core.shaping import ShapingRule
+
+WORKERS_PER_RACK: Final = 3
+SLOTS_PER_WORKER: Final = 8
+CONNECTIONS_PER_WORKER: Final = 64
+MEMORY_PER_WORKER_MB: Final = 32 * 1024
+OPERATOR_TOKEN: Final = 'operators-token'
+UNLIMITED_TASKS_PER_S: Final = 100_000
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """A worker that runs one target, with the agent beside it.
+
+    :param agent: process name of the agent.
+    :param target: process name of the target.
+    """
+
+    agent: str
+    target: str
+    service: str
+    data_centre: str
+    rack: str
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlace:
+    """An entry and where it stands."""
+
+    name: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Processes of a fleet, their places and the operators' text.
+
+    :param latency_ms: one-way latency between two data centres.
+    :param scheduler: how entries pick targets, ``credits`` or ``naive``.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    latency_ms: float
+    entries: tuple[EntryPlace, ...]
+    workers: tuple[Worker, ...]
+    text: OperatorsText
+    slots: int = SLOTS_PER_WORKER
+    connections: int = CONNECTIONS_PER_WORKER
+    memory_mb: int = MEMORY_PER_WORKER_MB
+    scheduler: str = 'credits'
+
+    @property
+    def token(self) -> str:
+        """Bearer token of the first team."""
+        return self.text.teams[0].token
+
+    def slots_of(self, service: str) -> int:
+        """Return the slots of all workers of a service."""
+        workers = [worker for worker in self.workers if worker.service == service]
+        return self.slots * len(workers)
+
+    def latency_rules(self, data_centre: str) -> tuple[ShapingRule, ...]:
+        """Return the shaping rules of a process in a data centre."""
+        return tuple(
+            ShapingRule(peer=other, delay_ms=self.latency_ms)
+            for other in self.data_centres
+            if other != data_centre
+        )
+
+    def with_scheduler(self, scheduler: str) -> 'Deployment':
+        """Return the same deployment under another scheduler."""
+        return replace(self, scheduler=scheduler)
+
+
+def place_workers(
+    workers_of: tuple[tuple[str, int], ...],
+    data_centres: tuple[str, ...],
+) -> tuple[Worker, ...]:
+    """Spread workers over racks of three, and racks over data centres.
+
+    Workers of one service are spread over the racks.
+
+    :param workers_of: names of services and how many workers each has.
+
+    >>> [worker.rack for worker in place_workers((('a', 4),), ('x', 'y'))]
+    ['rack-1', 'rack-2', 'rack-1', 'rack-2']
+    """
+    services = [name for name, count in workers_of for _ in range(count)]
+    racks = -(-len(services) // WORKERS_PER_RACK)
+    return tuple(
+        Worker(
+            agent=f'agent-{number + 1}',
+            target=f'target-{number + 1}',
+            service=service,
+            data_centre=data_centres[number % racks % len(data_centres)],
+            rack=f'rack-{number % racks + 1}',
+        )
+        for number, service in enumerate(services)
+    )
+
+
+def place_entries(count: int, data_centres: tuple[str, ...]) -> tuple[EntryPlace, ...]:
+    """Spread entries over data centres."""
+    return tuple(
+        EntryPlace(f'entry-{number + 1}', data_centres[number % len(data_centres)])
+        for number in range(count)
+    )
+
+
+def _zones(prefix: str, count: int) -> tuple[str, ...]:
+    return tuple(f'{prefix}-{number + 1}' for number in range(count))
+
+
+_STAVANGER: Final = _zones('stavanger', 3)
+_ALFOLD: Final = _zones('alfold', 4)
+_LOVDATA_TEAMS: Final = (
+    Team('clerks', 'clerks-token', tasks_per_s=UNLIMITED_TASKS_PER_S),
+    Team('associates', 'associates-token', tasks_per_s=UNLIMITED_TASKS_PER_S),
+)
+_LOVDATA_TEXT: Final = OperatorsText(
+    services=(
+        Service('lookups', ServiceKind.IDEMPOTENT, priority=0),
+        Service('sweeps', ServiceKind.JOB, deadline_ms=30_000),
+        Service('notes', ServiceKind.NON_IDEMPOTENT, deadline_ms=15_000),
+    ),
+    teams=_LOVDATA_TEAMS,
+)
+_LOGBOOK_TEXT: Final = OperatorsText(
+    services=(
+        Service('quota-checks', ServiceKind.IDEMPOTENT, priority=0),
+        Service('logbooks', ServiceKind.JOB, deadline_ms=30_000),
+        Service('quota-bookings', ServiceKind.NON_IDEMPOTENT, deadline_ms=15_000),
+    ),
+    teams=(
+        Team('harbour', 'harbour-token', tasks_per_s=UNLIMITED_TASKS_PER_S),
+        Team('inspectors', 'inspectors-token', tasks_per_s=UNLIMITED_TASKS_PER_S),
+    ),
+)
+
+LOVDATA: Final = Deployment(
+    name='lovdata',
+    data_centres=_STAVANGER,
+    latency_ms=1.5,
+    entries=place_entries(3, _STAVANGER),
+    workers=place_workers((('lookups', 5), ('sweeps', 4), ('notes', 2)), _STAVANGER),
+    text=_LOVDATA_TEXT,
+)
+LOGBOOK: Final = Deployment(
+    name='logbook',
+    data_centres=_ALFOLD,
+    latency_ms=1,
+    entries=place_entries(4, _ALFOLD),
+    workers=place_workers(
+        (('logbooks', 7), ('quota-checks', 2), ('quota-bookings', 2)),
+        _ALFOLD,
+    ),
+    text=_LOGBOOK_TEXT,
+)
+DEPLOYMENTS: Final = (LOVDATA, LOGBOOK)
+
+
+def deployment_named(name: str) -> Deployment:
+    """Return one of the two deployments.
+
+    :raises KeyError: when the name is unknown.
+    """
+    return {known.name: known for known in DEPLOYMENTS}[name]
--- /dev/null
+++ b/libs/endivetally/src/endivetally/fleet_process.py
@@ -0,0 +1,163 @@
+"""One process of a fleet: start, signals, exit code and log."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+from typing import Final
+
+from endivetally_core.errors import EndivetallyError
+from endivetally_core.joining import Address
+
+READY_TIMEOUT_S: Final = 30
+STOP_TIMEOUT_S: Final = 20
+_POLL_S: Final = 0.02
+
+
+class FleetError(EndivetallyError):
+    """A process of the fleet did not start, or did not do what it must."""
+
+
+class FleetProcess:
+    """A named child process that writes its address to a ready file.
+
+    :param name: name within the fleet.
+    :param ready_file: the process writes its ``host:port`` there.
+    :param log_file: receives standard output and standard error.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ready_file: Path,
+        log_file: Path,
+    ) -> None:
+        self.name = name
+        self._ready_file = ready_file
+        self._log_file = log_file
+        self._process: asyncio.subprocess.Process | None = None
+        self._address: Address | None = None
+
+    @property
+    def address(self) -> Address:
+        """Address of its HTTP server, as of its last start.
+
+        :raises FleetError: before the first start.
+        """
+        if self._address is None:
+            raise FleetError(f'{self.name} was never started')
+        return self._address
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP server."""
+        return f'http://{self.address}'
+
+    @property
+    def pid(self) -> int:
+        """Process id of its last start.
+
+        :raises FleetError: before the first start.
+        """
+        return self._running().pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code; ``None`` while it runs or before its first start."""
+        return None if self._process is None else self._process.returncode
+
+    @property
+    def alive(self) -> bool:
+        """Whether it was started and has not exited."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def log(self) -> str:
+        """What it has written to standard output and standard error."""
+        if not self._log_file.exists():
+            return ''
+        return self._log_file.read_text(errors='replace')
+
+    async def start(self, arguments: list[str]) -> None:
+        """Start it and wait until it listens.
+
+        :param arguments: arguments of the Python interpreter.
+        :raises FleetError: when it exits early or is not ready in time.
+        """
+        if self.alive:
+            raise FleetError(f'{self.name} runs already')
+        self._ready_file.unlink(missing_ok=True)
+        with self._log_file.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._address = await self._wait_ready()
+
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Send SIGTERM and return the exit code; SIGKILL after the timeout."""
+        self._signal(signal.SIGCONT)
+        self._signal(signal.SIGTERM)
+        return await self.wait(timeout_s)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for its exit and return the code; SIGKILL after the timeout."""
+        process = self._running()
+        try:
+            return await asyncio.wait_for(process.wait(), timeout_s)
+        except TimeoutError:
+            return await self.kill()
+
+    async def kill(self) -> int:
+        """Send SIGKILL and return the exit code."""
+        self._signal(signal.SIGKILL)
+        return await self._running().wait()
+
+    def terminate(self) -> None:
+        """Send SIGTERM and return at once."""
+        self._signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        """Send SIGSTOP."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Send SIGCONT."""
+        self._signal(signal.SIGCONT)
+
+    def _running(self) -> asyncio.subprocess.Process:
+        if self._process is None:
+            raise FleetError(f'{self.name} was never started')
+        return self._process
+
+    def _signal(self, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self._running().send_signal(number)
+
+    async def _wait_ready(self) -> Address:
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                return await self._poll_ready_file()
+        except TimeoutError as error:
+            await self.kill()
+            raise FleetError(f'{self.name} was not ready in time') from error
+
+    async def _poll_ready_file(self) -> Address:
+        while self.alive:
+            address = self._read_ready_file()
+            if address is not None:
+                return address
+            await asyncio.sleep(_POLL_S)
+        raise FleetError(f'{self.name} exited with {self.exit_code}: {self.log}')
+
+    def _read_ready_file(self) -> Address | None:
+        try:
+            content = self._ready_file.read_text().strip()
+        except FileNotFoundError:
+            return None
+        host, _, port = content.rpartition(':')
+        return Address(host, int(port)) if port.isdigit() else None
