Send open-loop load, measure ratios, run the bench and the demonstration

Load comes from processes of its own at times drawn from a seed, and response times count from the time a request was due, so that a slow dispatcher cannot hide its delays. Each answer is checked for the ids of its own tasks, and the starts that targets recorded are compared with what callers were told. Messages are split into the least possible, waste by class and control.

--- /dev/null
+++ b/libs/endivetally/src/endivetally/bench.py
@@ -0,0 +1,119 @@
+"""The ``endivetally bench`` command."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated
+from typing import Final
+
+import typer
+from rich.console import Console
+
+from endivetally.bench_faults import FAULTS
+from endivetally.bench_report import RunReport
+from endivetally.bench_report import report_table
+from endivetally.bench_report import run_fields
+from endivetally.bench_run import BenchPlan
+from endivetally.bench_run import BenchRun
+from endivetally.fleet_deployment import deployment_named
+from endivetally.plots import plot_runs
+
+OURS: Final = 'ours'
+NAIVE: Final = 'naive'
+DEFAULT_LOAD: Final = 0.8
+DEFAULT_SECONDS: Final = 20
+
+
+def bench(
+    *,
+    seed: Annotated[int, typer.Option(help='Seed of arrivals and run times.')] = 1,
+    seconds: Annotated[
+        float,
+        typer.Option(help='Seconds during which requests arrive.', min=1),
+    ] = DEFAULT_SECONDS,
+    load: Annotated[
+        float,
+        typer.Option(help='Load; 1 occupies all slots on average.', min=0.01),
+    ] = DEFAULT_LOAD,
+    deployment: Annotated[
+        str,
+        typer.Option(help='Deployment: lovdata or logbook.'),
+    ] = 'lovdata',
+    baseline: Annotated[
+        str,
+        typer.Option(help='Also run a baseline: naive.'),
+    ] = '',
+    fault: Annotated[
+        str,
+        typer.Option(help=f'Fault in the middle of the run: {", ".join(FAULTS)}.'),
+    ] = 'none',
+    plot: Annotated[
+        Path | None,
+        typer.Option(help='Write a figure; the suffix names the format.'),
+    ] = None,
+    as_json: Annotated[bool, typer.Option('--json', help='Print JSON.')] = False,
+) -> None:
+    """Measure response times and messages of a fleet on loopback under load.
+
+    Exit code 0 after a run, whatever it measured; 2 for a wrong option.
+    """
+    _require(deployment, ('lovdata', 'logbook'), '--deployment')
+    _require(baseline, ('', NAIVE), '--baseline')
+    _require(fault, tuple(FAULTS), '--fault')
+    plan = BenchPlan(
+        deployment=deployment_named(deployment),
+        seed=seed,
+        seconds=seconds,
+        load=load,
+        fault=FAULTS[fault],
+    )
+    runs = asyncio.run(run_bench(plan, with_naive=baseline == NAIVE))
+    if plot:
+        plot_runs(runs, plot)
+    if as_json:
+        typer.echo(json.dumps(_bench_fields(plan, fault, runs)))
+        return
+    for name, run in runs.items():
+        Console().print(report_table(name, run))
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.command('bench')(bench)
+
+
+async def run_bench(plan: BenchPlan, *, with_naive: bool) -> dict[str, RunReport]:
+    """Run our scheduler, then the naive one against the same ideal."""
+    ours = await BenchRun(plan).run()
+    if not with_naive:
+        return {OURS: ours}
+    naive_plan = BenchPlan(
+        deployment=plan.deployment.with_scheduler(NAIVE),
+        seed=plan.seed,
+        seconds=plan.seconds,
+        load=plan.load,
+        fault=plan.fault,
+        wire_ms=ours.wire_ms,
+    )
+    return {OURS: ours, NAIVE: await BenchRun(naive_plan).run()}
+
+
+def _bench_fields(
+    plan: BenchPlan,
+    fault: str,
+    runs: Mapping[str, RunReport],
+) -> dict[str, object]:
+    return {
+        'deployment': plan.deployment.name,
+        'seed': plan.seed,
+        'seconds': plan.seconds,
+        'load': plan.load,
+        'fault': fault,
+        **{name: run_fields(run) for name, run in runs.items()},
+    }
+
+
+def _require(choice: str, choices: tuple[str, ...], option: str) -> None:
+    if choice not in choices:
+        raise typer.BadParameter(f'{choice!r} is none of {choices}', param_hint=option)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/bench_probes.py
@@ -0,0 +1,98 @@
+"""Reads counters, processor time and start records from a running fleet."""
+
+import asyncio
+from collections import Counter
+from typing import Final
+
+import msgspec
+import psutil
+
+from endivetally.bench_messages import parse_messages
+from endivetally.fleet import Fleet
+from endivetally.fleet_client import ProcessUnreachable
+from endivetally.fleet_process import FleetProcess
+
+ROLES: Final = ('entry', 'agent', 'target', 'table')
+
+
+class FleetProbe:
+    """Sums counters over all processes since `begin`, restarts included.
+
+    Call `before_end_of` before a process is killed, or its counts are lost.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._messages: Counter[str] = Counter()
+        self._cpu_s: dict[str, float] = dict.fromkeys(ROLES, float(0))
+
+    async def begin(self) -> None:
+        """Take the starting point."""
+        await self._add(self._all(), sign=-1)
+
+    async def before_end_of(self, process: FleetProcess) -> None:
+        """Take the counts of a process that is about to be killed."""
+        await self._add([process], sign=1)
+
+    async def finish(self) -> None:
+        """Add the final counts of what runs."""
+        await self._add(self._all(), sign=1)
+
+    @property
+    def messages(self) -> Counter[str]:
+        """Messages sent by entries and agents, by class."""
+        return self._messages
+
+    @property
+    def cpu_s(self) -> dict[str, float]:
+        """Seconds of processor time by role."""
+        return self._cpu_s
+
+    def _all(self) -> list[FleetProcess]:
+        fleet = self._fleet
+        return [*fleet.entries, *fleet.agents, *fleet.targets, fleet.table]
+
+    async def _add(self, processes: list[FleetProcess], sign: int) -> None:
+        counts = await asyncio.gather(*(self._sent(process) for process in processes))
+        for process, sent in zip(processes, counts, strict=True):
+            role = process.name.partition('-')[0]
+            self._cpu_s[role] += sign * _cpu_s(process)
+            for name, count in sent.items():
+                self._messages[name] += sign * count
+
+    async def _sent(self, process: FleetProcess) -> Counter[str]:
+        if not process.name.startswith(('entry-', 'agent-')):
+            return Counter()
+        try:
+            response = await self._fleet.client.get(f'{process.url}/metrics')
+        except ProcessUnreachable:
+            return Counter()
+        return parse_messages(response.body.decode())
+
+
+class StartRecord(msgspec.Struct, frozen=True):
+    """One start that a target recorded.
+
+    :param payload: what the target was given.
+    """
+
+    id: str
+
+
+def read_starts(fleet: Fleet) -> Counter[str]:
+    """Return how often each task was started, by id, over all targets."""
+    starts: Counter[str] = Counter()
+    for worker in fleet.deployment.workers:
+        record_file = fleet.record_file(worker.target)
+        if record_file.exists():
+            for line in record_file.read_bytes().splitlines():
+                starts[msgspec.json.decode(line, type=StartRecord).id] += 1
+    return starts
+
+
+def _cpu_s(process: FleetProcess) -> float:
+    try:
+        times = psutil.Process(process.pid).cpu_times()
+    except psutil.NoSuchProcess:
+        return 0
+    return float(times.user + times.system)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/bench_run.py
@@ -0,0 +1,156 @@
+"""One run of the bench: a fleet, a load, a fault, a report."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Final
+
+from endivetally_config.text import ServiceKind
+
+from endivetally.bench_faults import Fault
+from endivetally.bench_faults import run_fault
+from endivetally.bench_messages import message_costs
+from endivetally.bench_probes import FleetProbe
+from endivetally.bench_probes import read_starts
+from endivetally.bench_report import Capacity
+from endivetally.bench_report import RunReport
+from endivetally.fleet import Fleet
+from endivetally.fleet_deployment import Deployment
+from endivetally.load import LoadGenerator
+from endivetally.load_mix import RequestKind
+from endivetally.load_mix import RunTimes
+from endivetally.load_mix import plan_arrivals
+from endivetally.load_report import late_percentiles
+from endivetally.load_report import report_kind
+from endivetally.load_report import report_kinds
+from endivetally.load_report import report_starts
+from endivetally.load_report import tasks_whole_within
+from endivetally.load_wire import measure_wire_ms
+from endivetally.load_worker import LoadRecord
+
+SETTLE_S: Final = 1
+JOB_TASKS: Final = (2, 16)
+LOOKUP_TAIL: Final = 0.02
+_MS_PER_S: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class BenchPlan:
+    """What one run does.
+
+    :param load: 1 occupies all slots on average.
+    :param wire_ms: the wire's minimum; ``None`` measures it first.
+    """
+
+    deployment: Deployment
+    seed: int
+    seconds: float
+    load: float
+    fault: Fault
+    wire_ms: float | None = None
+
+
+def request_kinds(deployment: Deployment) -> tuple[RequestKind, ...]:
+    """Return the mix of a deployment: each service loads its own workers."""
+    kinds: list[RequestKind] = []
+    for service in deployment.text.services:
+        job = service.kind is ServiceKind.JOB
+        lookup = service.kind is ServiceKind.IDEMPOTENT
+        least, most = JOB_TASKS if job else (1, 1)
+        kind = RequestKind(
+            service=service.name,
+            kind=service.kind,
+            slots=deployment.slots_of(service.name),
+            run_times=RunTimes(tail_share=LOOKUP_TAIL) if lookup else RunTimes(),
+            least_tasks=least,
+            most_tasks=most,
+        )
+        kinds.append(kind)
+    return tuple(kinds)
+
+
+class BenchRun:
+    """Runs a plan.
+
+    :param plan: what to do.
+    """
+
+    def __init__(self, plan: BenchPlan) -> None:
+        self._plan = plan
+        self._arrivals = plan_arrivals(
+            request_kinds(plan.deployment),
+            load=plan.load,
+            seconds=plan.seconds,
+            seed=plan.seed,
+        )
+
+    async def run(self) -> RunReport:
+        """Start the fleet, send the load and return the report."""
+        async with AsyncExitStack() as stack:
+            fleet = await stack.enter_async_context(Fleet(self._plan.deployment))
+            await fleet.start()
+            wire_ms = self._plan.wire_ms or await measure_wire_ms(fleet)
+            return await self._measure(fleet, wire_ms)
+
+    async def _measure(self, fleet: Fleet, wire_ms: float) -> RunReport:
+        probe = FleetProbe(fleet)
+        await probe.begin()
+        records = await self._load(fleet, probe)
+        await asyncio.sleep(SETTLE_S)
+        await probe.finish()
+        return self._report(fleet, probe, records, wire_ms)
+
+    async def _load(self, fleet: Fleet, probe: FleetProbe) -> list[LoadRecord]:
+        generator = LoadGenerator(
+            [entry.url for entry in fleet.entries],
+            fleet.deployment.token,
+            fleet.directory,
+        )
+        start: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+        async with asyncio.TaskGroup() as group:
+            load = group.create_task(
+                generator.run(
+                    self._arrivals,
+                    seed=self._plan.seed,
+                    on_start=start.set_result,
+                ),
+            )
+            await asyncio.sleep(await start - time.monotonic())
+            group.create_task(
+                run_fault(self._plan.fault, fleet, probe, self._plan.seconds),
+            )
+        return load.result()
+
+    def _report(
+        self,
+        fleet: Fleet,
+        probe: FleetProbe,
+        records: list[LoadRecord],
+        wire_ms: float,
+    ) -> RunReport:
+        by_key = {record.key: record for record in records}
+        slots_of = fleet.deployment.slots_by_service()
+        starts = report_starts(self._arrivals, by_key, read_starts(fleet))
+        return RunReport(
+            overall=report_kind(self._arrivals, by_key, slots_of, wire_ms),
+            kinds=report_kinds(self._arrivals, by_key, slots_of, wire_ms),
+            starts=starts,
+            costs=message_costs(probe.messages, starts.tasks_done),
+            capacity=self._capacity(by_key, sum(slots_of.values())),
+            wire_ms=wire_ms,
+            cpu_ms_per_task={
+                role: cpu_s * _MS_PER_S / max(starts.tasks_done, 1)
+                for role, cpu_s in probe.cpu_s.items()
+            },
+            late_ms=late_percentiles(records),
+        )
+
+    def _capacity(self, records: Mapping[str, LoadRecord], slots: int) -> Capacity:
+        seconds = self._plan.seconds
+        run_ms = tasks_whole_within(self._arrivals, records, seconds)
+        return Capacity(
+            goodput=len(run_ms) / seconds,
+            useful_share=sum(run_ms) / (slots * seconds * _MS_PER_S),
+        )
--- /dev/null
+++ b/libs/endivetally/src/endivetally/demo.py
@@ -0,0 +1,126 @@
+"""The ``endivetally demo`` command: real processes, example input, checks."""
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Annotated
+from typing import Final
+
+import typer
+from rich.console import Console
+from rich.progress import Progress
+
+from endivetally.bench_messages import message_costs
+from endivetally.bench_probes import FleetProbe
+from endivetally.bench_probes import read_starts
+from endivetally.demo_input import DemoInputError
+from endivetally.demo_input import read_arrivals
+from endivetally.demo_report import DemoReport
+from endivetally.demo_report import demo_fields
+from endivetally.demo_report import demo_table
+from endivetally.fleet import Fleet
+from endivetally.fleet_deployment import DEMO
+from endivetally.load_mix import Arrival
+from endivetally.load_report import report_kind
+from endivetally.load_report import report_kinds
+from endivetally.load_report import report_starts
+from endivetally.load_wire import measure_wire_ms
+from endivetally.load_worker import Caller
+from endivetally.load_worker import LoadPlan
+from endivetally.load_worker import LoadRecord
+from endivetally.load_worker import OnRecord
+
+DEFAULT_INPUT: Final = Path('examples/requests')
+PATIENCE_S: Final = 40
+SETTLE_S: Final = 1
+_EXIT_CHECK_FAILED: Final = 1
+_EXIT_BAD_INPUT: Final = 2
+
+
+def demo(
+    *,
+    requests: Annotated[
+        Path,
+        typer.Option(help='Directory of <service>.jsonl files.'),
+    ] = DEFAULT_INPUT,
+    as_json: Annotated[bool, typer.Option('--json', help='Print JSON.')] = False,
+) -> None:
+    """Start a small fleet on loopback, send the example requests, check answers.
+
+    Exit code 0 when every check holds, 1 when one fails, 2 for bad input.
+    """
+    try:
+        arrivals = read_arrivals(requests, DEMO.text)
+    except DemoInputError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(_EXIT_BAD_INPUT) from error
+    report = _run_with_progress(arrivals)
+    if as_json:
+        typer.echo(json.dumps(demo_fields(report)))
+    else:
+        Console().print(demo_table(report))
+    if report.broken_checks:
+        typer.echo(f'checks failed: {", ".join(report.broken_checks)}', err=True)
+        raise typer.Exit(_EXIT_CHECK_FAILED)
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.command('demo')(demo)
+
+
+async def run_demo(arrivals: list[Arrival], on_record: OnRecord) -> DemoReport:
+    """Send the requests to a fresh fleet and report.
+
+    :param on_record: told of each answer.
+    """
+    async with Fleet(DEMO) as fleet:
+        await fleet.start()
+        wire_ms = await measure_wire_ms(fleet)
+        probe = FleetProbe(fleet)
+        await probe.begin()
+        records = await _send(fleet, arrivals, on_record)
+        await asyncio.sleep(SETTLE_S)
+        await probe.finish()
+        return _report(fleet, probe, arrivals, records, wire_ms)
+
+
+def _run_with_progress(arrivals: list[Arrival]) -> DemoReport:
+    with Progress(console=Console(stderr=True)) as progress:
+        bar = progress.add_task('requests answered', total=len(arrivals))
+        return asyncio.run(run_demo(arrivals, lambda _record: progress.advance(bar)))
+
+
+async def _send(
+    fleet: Fleet,
+    arrivals: list[Arrival],
+    on_record: OnRecord,
+) -> dict[str, LoadRecord]:
+    plan = LoadPlan(
+        start=time.monotonic(),
+        entries=[entry.url for entry in fleet.entries],
+        token=fleet.deployment.token,
+        patience_s=PATIENCE_S,
+        seed=1,
+        arrivals=arrivals,
+    )
+    records = await Caller(plan, on_record).run()
+    return {record.key: record for record in records}
+
+
+def _report(
+    fleet: Fleet,
+    probe: FleetProbe,
+    arrivals: list[Arrival],
+    records: dict[str, LoadRecord],
+    wire_ms: float,
+) -> DemoReport:
+    slots_of = fleet.deployment.slots_by_service()
+    starts = report_starts(arrivals, records, read_starts(fleet))
+    return DemoReport(
+        overall=report_kind(arrivals, records, slots_of, wire_ms),
+        kinds=report_kinds(arrivals, records, slots_of, wire_ms),
+        starts=starts,
+        costs=message_costs(probe.messages, starts.tasks_done),
+    )
--- a/libs/endivetally/src/endivetally/fleet_deployment.py
+++ b/libs/endivetally/src/endivetally/fleet_deployment.py
@@ -70,6 +70,11 @@
         workers = [worker for worker in self.workers if worker.service == service]
         return self.slots * len(workers)
 
+    def slots_by_service(self) -> dict[str, int]:
+        """Return the slots of each service of the text."""
+        names = [service.name for service in self.text.services]
+        return {name: self.slots_of(name) for name in names}
+
     def latency_rules(self, data_centre: str) -> tuple[ShapingRule, ...]:
         """Return the shaping rules of a process in a data centre."""
         return tuple(
@@ -167,6 +172,23 @@
     ),
     text=_LOGBOOK_TEXT,
 )
+DEMO: Final = Deployment(
+    name='demo',
+    data_centres=_zones('demo', 2),
+    latency_ms=1,
+    entries=place_entries(2, _zones('demo', 2)),
+    workers=place_workers(
+        (('lookups', 2), ('sweeps', 1), ('notes', 1), ('logbooks', 1)),
+        _zones('demo', 2),
+    ),
+    text=OperatorsText(
+        services=(
+            *_LOVDATA_TEXT.services,
+            Service('logbooks', ServiceKind.JOB, deadline_ms=30_000),
+        ),
+        teams=_LOVDATA_TEAMS,
+    ),
+)
 DEPLOYMENTS: Final = (LOVDATA, LOGBOOK)
 
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/load_report.py
@@ -0,0 +1,206 @@
+"""Sums up the records of a load: ratios, shares, refusals, safety."""
+
+from collections import Counter
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from endivetally_config.text import ServiceKind
+from hdrh.histogram import HdrHistogram
+
+from endivetally.load_answers import Verdict
+from endivetally.load_answers import task_ids
+from endivetally.load_mix import Arrival
+from endivetally.load_worker import LoadRecord
+
+_RATIO_SCALE: Final = 1000
+_MS_SCALE: Final = 100
+_HIGHEST: Final = 100_000_000
+_DIGITS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Percentiles:
+    """Percentiles of a distribution; all 0 when nothing was recorded."""
+
+    p50: float
+    p99: float
+    p999: float
+    highest: float
+
+
+@dataclass(frozen=True, slots=True)
+class KindReport:
+    """How the requests of one service, or of all, ended for their callers.
+
+    :param ratios: response time over ideal, of whole answers.
+    :param refusals_ms: response times of refusals.
+    :param codes: error codes and how often each was answered.
+    """
+
+    requests: int
+    verdicts: Mapping[str, int]
+    codes: Mapping[str, int]
+    ratios: Percentiles
+    refusals_ms: Percentiles
+
+    def count(self, verdict: Verdict) -> int:
+        """Return how many requests ended that way."""
+        return self.verdicts.get(verdict.value, 0)
+
+    def share(self, verdict: Verdict) -> float:
+        """Return the share of requests that ended that way."""
+        return self.count(verdict) / self.requests if self.requests else 0
+
+
+@dataclass(frozen=True, slots=True)
+class StartReport:
+    """What the targets recorded, against what callers were told.
+
+    :param tasks_done: distinct tasks that were started.
+    :param doubled: tasks of jobs and non-idempotent requests started more
+        than once.
+    :param repeated: idempotent tasks started more than once.
+    :param ran_after_refusal: tasks started although the answer was "not run".
+    :param missing: tasks of whole answers that no target started.
+    """
+
+    tasks_done: int
+    doubled: int
+    repeated: int
+    ran_after_refusal: int
+    missing: int
+
+
+def ideal_ms(arrival: Arrival, slots: int, wire_ms: float) -> float:
+    """Return the response time on idle workers.
+
+    :param slots: slots of all workers of the service.
+    :param wire_ms: the wire's minimum.
+
+    >>> ideal_ms(Arrival(0, 's', ServiceKind.JOB, 'k', [100, 300, 200]), 2, 1)
+    301
+    >>> ideal_ms(Arrival(0, 's', ServiceKind.JOB, 'k', [300, 300, 300]), 2, 1)
+    451.0
+    """
+    return max(max(arrival.run_ms), sum(arrival.run_ms) / slots) + wire_ms
+
+
+def report_kind(
+    arrivals: Iterable[Arrival],
+    records: Mapping[str, LoadRecord],
+    slots_of: Mapping[str, int],
+    wire_ms: float,
+) -> KindReport:
+    """Sum up the requests given.
+
+    :param records: records by key.
+    :param slots_of: slots of all workers, by service.
+    """
+    verdicts: Counter[str] = Counter()
+    codes: Counter[str] = Counter()
+    ratios = HdrHistogram(1, _HIGHEST, _DIGITS)
+    refusals = HdrHistogram(1, _HIGHEST, _DIGITS)
+    for arrival in arrivals:
+        record = records[arrival.key]
+        verdicts[record.verdict.value] += 1
+        if record.code:
+            codes[record.code] += 1
+        if record.verdict is Verdict.WHOLE:
+            ideal = ideal_ms(arrival, slots_of[arrival.service], wire_ms)
+            ratios.record_value(round(record.response_ms / ideal * _RATIO_SCALE))
+        if record.verdict is Verdict.REFUSED:
+            refusals.record_value(round(record.response_ms * _MS_SCALE))
+    return KindReport(
+        requests=verdicts.total(),
+        verdicts=dict(verdicts),
+        codes=dict(codes),
+        ratios=_percentiles(ratios, _RATIO_SCALE),
+        refusals_ms=_percentiles(refusals, _MS_SCALE),
+    )
+
+
+def report_kinds(
+    arrivals: list[Arrival],
+    records: Mapping[str, LoadRecord],
+    slots_of: Mapping[str, int],
+    wire_ms: float,
+) -> dict[str, KindReport]:
+    """Sum up the requests of each service."""
+    return {
+        service: report_kind(
+            [arrival for arrival in arrivals if arrival.service == service],
+            records,
+            slots_of,
+            wire_ms,
+        )
+        for service in slots_of
+    }
+
+
+def report_starts(
+    arrivals: Iterable[Arrival],
+    records: Mapping[str, LoadRecord],
+    starts: Mapping[str, int],
+) -> StartReport:
+    """Compare the starts that targets recorded with the answers."""
+    doubled = 0
+    repeated = 0
+    ran_after_refusal = 0
+    missing = 0
+    tasks_done = 0
+    for arrival in arrivals:
+        counts = [starts.get(task_id, 0) for task_id in task_ids(arrival)]
+        started = sum(1 for count in counts if count)
+        again = sum(1 for count in counts if count > 1)
+        tasks_done += started
+        if arrival.kind is ServiceKind.IDEMPOTENT:
+            repeated += again
+        else:
+            doubled += again
+        verdict = records[arrival.key].verdict
+        if verdict is Verdict.REFUSED:
+            ran_after_refusal += started
+        if verdict is Verdict.WHOLE:
+            missing += len(counts) - started
+    return StartReport(
+        tasks_done=tasks_done,
+        doubled=doubled,
+        repeated=repeated,
+        ran_after_refusal=ran_after_refusal,
+        missing=missing,
+    )
+
+
+def tasks_whole_within(
+    arrivals: Iterable[Arrival],
+    records: Mapping[str, LoadRecord],
+    seconds: float,
+) -> list[int]:
+    """Return the run times of tasks whose whole answer came in that time."""
+    run_ms: list[int] = []
+    for arrival in arrivals:
+        record = records[arrival.key]
+        if record.verdict is Verdict.WHOLE and record.done_s <= seconds:
+            run_ms.extend(arrival.run_ms)
+    return run_ms
+
+
+def late_percentiles(records: Iterable[LoadRecord]) -> Percentiles:
+    """Return by how many milliseconds the generator sent late."""
+    late = HdrHistogram(1, _HIGHEST, _DIGITS)
+    for record in records:
+        late.record_value(max(round(record.late_ms * _MS_SCALE), 0))
+    return _percentiles(late, _MS_SCALE)
+
+
+def _percentiles(histogram: HdrHistogram, scale: int) -> Percentiles:
+    if not histogram.total_count:
+        return Percentiles(0, 0, 0, 0)
+    return Percentiles(
+        p50=histogram.get_value_at_percentile(50) / scale,
+        p99=histogram.get_value_at_percentile(99) / scale,
+        p999=histogram.get_value_at_percentile(99.9) / scale,
+        highest=histogram.get_max_value() / scale,
+    )
