--- a/libs/endivetally/src/endivetally/bench_run.py
+++ b/libs/endivetally/src/endivetally/bench_run.py
@@ -7,11 +7,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from endivetally_config.text import ServiceKind
-
 from endivetally.bench_faults import Fault
 from endivetally.bench_faults import run_fault
 from endivetally.bench_messages import message_costs
+from endivetally.bench_mix import request_kinds
 from endivetally.bench_probes import FleetProbe
 from endivetally.bench_probes import read_starts
 from endivetally.bench_report import Capacity
@@ -19,8 +18,6 @@
 from endivetally.fleet import Fleet
 from endivetally.fleet_deployment import Deployment
 from endivetally.load import LoadGenerator
-from endivetally.load_mix import RequestKind
-from endivetally.load_mix import RunTimes
 from endivetally.load_mix import plan_arrivals
 from endivetally.load_report import late_percentiles
 from endivetally.load_report import report_kind
@@ -31,8 +28,6 @@
 from endivetally.load_worker import LoadRecord
 
 SETTLE_S: Final = 1
-JOB_TASKS: Final = (2, 16)
-LOOKUP_TAIL: Final = 0.02
 _MS_PER_S: Final = 1000
 
 
@@ -52,25 +47,6 @@
     wire_ms: float | None = None
 
 
-def request_kinds(deployment: Deployment) -> tuple[RequestKind, ...]:
-    """Return the mix of a deployment: each service loads its own workers."""
-    kinds: list[RequestKind] = []
-    for service in deployment.text.services:
-        job = service.kind is ServiceKind.JOB
-        lookup = service.kind is ServiceKind.IDEMPOTENT
-        least, most = JOB_TASKS if job else (1, 1)
-        kind = RequestKind(
-            service=service.name,
-            kind=service.kind,
-            slots=deployment.slots_of(service.name),
-            run_times=RunTimes(tail_share=LOOKUP_TAIL) if lookup else RunTimes(),
-            least_tasks=least,
-            most_tasks=most,
-        )
-        kinds.append(kind)
-    return tuple(kinds)
-
-
 class BenchRun:
     """Runs a plan.
 
--- /dev/null
+++ b/tests/bench/test_fleet.py
@@ -0,0 +1,75 @@
+"""Processes of a fleet: start, signals, exit codes, addresses."""
+
+import os
+from pathlib import Path
+
+import msgspec
+import pytest
+from endivetally.fleet import Fleet
+from endivetally.fleet_commands import TABLE
+from endivetally.fleet_deployment import DEMO
+from endivetally.fleet_deployment import LOGBOOK
+from endivetally.fleet_group import ProcessGroup
+from endivetally.fleet_process import FleetError
+from endivetally_core.shaping import ShapingRule
+
+
+class Stats(msgspec.Struct):
+    """What the stand-in of the table service answers to ``/stats``."""
+
+    reads: int
+
+
+def is_running(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class TestProcesses:
+    async def test_answers_until_the_fleet_ends(self) -> None:
+        async with Fleet(DEMO) as fleet:
+            table = await fleet.start_table()
+            response = await fleet.client.get(f'{table.url}/stats')
+            assert msgspec.json.decode(response.body, type=Stats).reads == 0
+            pid = table.pid
+        assert not is_running(pid)
+        assert not fleet.directory.exists()
+
+    async def test_restarts_at_the_same_address(self) -> None:
+        async with Fleet(DEMO) as fleet:
+            first = (await fleet.start_table()).address
+            assert await fleet.table.stop() == 0
+            assert not fleet.table.alive
+            assert (await fleet.start_table()).address == first
+
+    async def test_kill_and_stop_of_a_frozen_process(self) -> None:
+        async with Fleet(DEMO) as fleet:
+            table = await fleet.start_table()
+            table.freeze()
+            assert await table.stop() == 0
+            await fleet.start_table()
+            assert await table.kill() < 0
+
+    async def test_early_exit_is_reported_with_its_log(self, tmp_path: Path) -> None:
+        group = ProcessGroup(tmp_path)
+        with pytest.raises(FleetError, match='No such option'):
+            await group.launch('table', ['-m', *BAD_OPTION])
+        assert not group.get('table').alive
+
+    async def test_unknown_process(self) -> None:
+        async with Fleet(DEMO) as fleet:
+            with pytest.raises(FleetError, match=TABLE):
+                assert fleet.table
+
+
+BAD_OPTION = ('endivetally_standins.table_service', '--no-such-option')
+
+
+def test_latency_to_every_other_data_centre() -> None:
+    rules = LOGBOOK.latency_rules('alfold-2')
+    assert rules == tuple(
+        ShapingRule(peer=f'alfold-{number}', delay_ms=1) for number in (1, 3, 4)
+    )
--- /dev/null
+++ b/tests/bench/test_load_mix.py
@@ -0,0 +1,78 @@
+"""Arrivals: same seed, same load; the rates that were asked for."""
+
+import random
+
+import pytest
+from endivetally.bench_mix import request_kinds
+from endivetally.fleet_deployment import DEPLOYMENTS
+from endivetally.fleet_deployment import LOVDATA
+from endivetally.fleet_deployment import Deployment
+from endivetally.load import workers_for
+from endivetally.load_mix import Arrival
+from endivetally.load_mix import Bursts
+from endivetally.load_mix import RunTimes
+from endivetally.load_mix import plan_arrivals
+
+
+def plan(seed: int, load: float = 0.8, seconds: float = 200) -> list[Arrival]:
+    kinds = request_kinds(LOVDATA)
+    return plan_arrivals(kinds, load=load, seconds=seconds, seed=seed)
+
+
+class TestPlan:
+    def test_same_seed_same_arrivals(self) -> None:
+        assert plan(1) == plan(1)
+
+    def test_other_seed_other_arrivals(self) -> None:
+        assert plan(1) != plan(2)
+
+    def test_in_order_with_unique_keys(self) -> None:
+        arrivals = plan(1)
+        assert arrivals == sorted(arrivals, key=lambda arrival: arrival.at_s)
+        assert len({arrival.key for arrival in arrivals}) == len(arrivals)
+
+    @pytest.mark.parametrize('load', [0.5, 0.8, 3])
+    def test_occupies_the_share_of_slots(self, load: float) -> None:
+        run_ms = dict.fromkeys(LOVDATA.slots_by_service(), 0)
+        for arrival in plan(1, load, 1000):
+            run_ms[arrival.service] += sum(arrival.run_ms)
+        for service, slots in LOVDATA.slots_by_service().items():
+            share = run_ms[service] / (slots * 1_000_000)
+            assert share == pytest.approx(load, rel=0.06)
+
+
+class TestBursts:
+    @pytest.mark.parametrize('factor', [1, 1.25, 3])
+    def test_mean_rate_stays(self, factor: float) -> None:
+        bursts = Bursts(period_s=5, length_s=1, factor=factor)
+        factors = [bursts.factor_at(tenth / 10) for tenth in range(500)]
+        assert sum(factors) / len(factors) == pytest.approx(1)
+
+
+class TestRunTimes:
+    def test_mean_matches_draws(self) -> None:
+        times = RunTimes()
+        source = random.Random(1)
+        draws = [times.draw(source) for _ in range(50_000)]
+        assert sum(draws) / len(draws) == pytest.approx(times.mean_ms, rel=0.03)
+        assert min(draws) >= times.low_ms
+        assert max(draws) <= times.tail_high_ms
+
+
+class TestDeployments:
+    @pytest.mark.parametrize('deployment', DEPLOYMENTS)
+    def test_eleven_workers_three_to_a_rack(self, deployment: Deployment) -> None:
+        racks = [worker.rack for worker in deployment.workers]
+        assert len(racks) == 11
+        assert max(racks.count(rack) for rack in racks) == 3
+
+    @pytest.mark.parametrize('deployment', DEPLOYMENTS)
+    def test_a_rack_stands_in_one_data_centre(self, deployment: Deployment) -> None:
+        places = {(each.rack, each.data_centre) for each in deployment.workers}
+        assert len(places) == len({each.rack for each in deployment.workers})
+
+
+def test_more_processes_for_more_requests() -> None:
+    assert workers_for([]) == 1
+    assert workers_for(plan(1, 0.8, 10)) == 1
+    assert workers_for(plan(1, 3, 10)) > 1
--- /dev/null
+++ b/tests/bench/test_load_report.py
@@ -0,0 +1,117 @@
+"""Verdicts on answers, and the sums made of them."""
+
+import pytest
+from endivetally.load_answers import CheckedAnswer
+from endivetally.load_answers import Verdict
+from endivetally.load_answers import check_answer
+from endivetally.load_mix import Arrival
+from endivetally.load_report import report_kind
+from endivetally.load_report import report_starts
+from endivetally.load_report import tasks_whole_within
+from endivetally.load_worker import LoadRecord
+from endivetally_config.text import ServiceKind
+
+LOOKUP = Arrival(0, 'lookups', ServiceKind.IDEMPOTENT, 'l', [100])
+NOTE = Arrival(0, 'notes', ServiceKind.NON_IDEMPOTENT, 'n', [100])
+SWEEP = Arrival(0, 'sweeps', ServiceKind.JOB, 's', [100, 200])
+
+
+def record(
+    arrival: Arrival,
+    verdict: Verdict = Verdict.WHOLE,
+    response_ms: float = 110,
+    done_s: float = 1,
+) -> LoadRecord:
+    return LoadRecord(arrival.key, verdict, '', response_ms, 0, done_s, 1)
+
+
+def by_key(*records: LoadRecord) -> dict[str, LoadRecord]:
+    return {each.key: each for each in records}
+
+
+class TestCheckAnswer:
+    @pytest.mark.parametrize(
+        ('arrival', 'status', 'body', 'verdict'),
+        [
+            (LOOKUP, 200, b'{"id": "l/0"}', Verdict.WHOLE),
+            (LOOKUP, 200, b'{"id": "x/0"}', Verdict.PARTIAL),
+            (LOOKUP, 200, b'{"id": "l', Verdict.PARTIAL),
+            (SWEEP, 200, b'{"results": [{"id": "s/0"}, {"id": "s/1"}]}', Verdict.WHOLE),
+            (SWEEP, 200, b'{"results": [{"id": "s/0"}]}', Verdict.PARTIAL),
+            (
+                SWEEP,
+                200,
+                b'{"results": [{"id": "s/1"}, {"id": "s/0"}]}',
+                Verdict.PARTIAL,
+            ),
+            (
+                NOTE,
+                503,
+                b'{"error": {"code": "overloaded", "ran": "not_run"}}',
+                Verdict.REFUSED,
+            ),
+            (
+                NOTE,
+                502,
+                b'{"error": {"code": "outcome_unknown", "ran": "unknown"}}',
+                Verdict.FAILED,
+            ),
+            (NOTE, 502, b'<html>', Verdict.FAILED),
+        ],
+    )
+    def test_verdict(
+        self,
+        arrival: Arrival,
+        status: int,
+        body: bytes,
+        verdict: Verdict,
+    ) -> None:
+        assert check_answer(arrival, status, body).verdict is verdict
+
+    def test_code(self) -> None:
+        body = b'{"error": {"code": "overloaded", "ran": "not_run"}}'
+        expected = CheckedAnswer(Verdict.REFUSED, 'overloaded')
+        assert check_answer(LOOKUP, 503, body) == expected
+
+
+class TestRatios:
+    def test_response_over_ideal(self) -> None:
+        report = report_kind(
+            [LOOKUP, SWEEP],
+            by_key(record(LOOKUP, response_ms=110), record(SWEEP, response_ms=420)),
+            {'lookups': 8, 'sweeps': 8},
+            wire_ms=10,
+        )
+        assert report.ratios.p50 == pytest.approx(1, rel=0.01)
+        assert report.ratios.highest == pytest.approx(2, rel=0.01)
+
+    def test_refusals_are_not_responses(self) -> None:
+        refused = record(NOTE, Verdict.REFUSED, response_ms=20)
+        report = report_kind([NOTE], by_key(refused), {'notes': 8}, wire_ms=0)
+        assert report.ratios.p50 == 0
+        assert report.refusals_ms.highest == pytest.approx(20, rel=0.01)
+        assert report.share(Verdict.REFUSED) == 1
+
+    def test_goodput_counts_whole_answers_in_time(self) -> None:
+        records = by_key(
+            record(LOOKUP, done_s=3),
+            record(SWEEP, done_s=1),
+            record(NOTE, Verdict.FAILED),
+        )
+        assert tasks_whole_within([LOOKUP, SWEEP, NOTE], records, 2) == [100, 200]
+
+
+class TestStarts:
+    def test_doubled_only_for_jobs_and_non_idempotent(self) -> None:
+        records = by_key(record(LOOKUP), record(NOTE), record(SWEEP))
+        starts = {'l/0': 2, 'n/0': 2, 's/0': 1, 's/1': 3}
+        report = report_starts([LOOKUP, NOTE, SWEEP], records, starts)
+        assert (report.tasks_done, report.doubled, report.repeated) == (4, 2, 1)
+
+    def test_refused_work_that_ran(self) -> None:
+        records = by_key(record(SWEEP, Verdict.REFUSED))
+        assert report_starts([SWEEP], records, {'s/0': 1}).ran_after_refusal == 1
+
+    def test_whole_answer_without_a_start(self) -> None:
+        records = by_key(record(SWEEP))
+        assert report_starts([SWEEP], records, {'s/0': 1}).missing == 1
--- /dev/null
+++ b/tests/bench/test_load_worker.py
@@ -0,0 +1,89 @@
+"""Callers against a small HTTP server in place of an entry."""
+
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+from endivetally.load_answers import Verdict
+from endivetally.load_mix import Arrival
+from endivetally.load_worker import Caller
+from endivetally.load_worker import LoadPlan
+from endivetally.load_worker import LoadRecord
+from endivetally_config.text import ServiceKind
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+ARRIVAL = Arrival(0, 'notes', ServiceKind.NON_IDEMPOTENT, 'n', [1])
+
+
+class FakeEntry:
+    """Drops the first requests, then answers them.
+
+    :param drops: requests whose connection is closed without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.drops = 0
+        self.keys: list[str] = []
+        self.url = ''
+
+
+class FakeHandler(RequestHandler):
+    """Answers for a `FakeEntry`."""
+
+    def initialize(self, entry: FakeEntry) -> None:
+        self.entry = entry
+
+    def post(self, _path: str) -> None:
+        self.entry.keys.append(self.request.headers['Idempotency-Key'])
+        if self.entry.drops:
+            self.entry.drops -= 1
+            self.detach().close()
+            return
+        self.write('{"id": "n/0"}')
+
+
+@pytest_asyncio.fixture
+async def entry() -> AsyncIterator[FakeEntry]:
+    fake = FakeEntry()
+    application = Application([('/(.*)', FakeHandler, {'entry': fake})])
+    server = HTTPServer(application)
+    sockets = bind_sockets(0, '127.0.0.1')
+    server.add_sockets(sockets)
+    fake.url = f'http://127.0.0.1:{sockets[0].getsockname()[1]}'
+    yield fake
+    server.stop()
+    await server.close_all_connections()
+
+
+async def send(entry: FakeEntry, *, start: float, patience_s: float) -> LoadRecord:
+    plan = LoadPlan(start, [entry.url], 'token', patience_s, 1, [ARRIVAL])
+    records = await Caller(plan).run()
+    return records[0]
+
+
+async def test_whole_answer(entry: FakeEntry) -> None:
+    record = await send(entry, start=time.monotonic(), patience_s=30)
+    assert (record.verdict, record.submissions) == (Verdict.WHOLE, 1)
+
+
+async def test_submits_again_with_the_same_key(entry: FakeEntry) -> None:
+    entry.drops = 2
+    record = await send(entry, start=time.monotonic(), patience_s=30)
+    assert (record.verdict, record.submissions) == (Verdict.WHOLE, 3)
+    assert entry.keys == ['n', 'n', 'n']
+
+
+async def test_gives_up_as_lost(entry: FakeEntry) -> None:
+    entry.drops = 1_000_000
+    record = await send(entry, start=time.monotonic(), patience_s=0.5)
+    assert record.verdict is Verdict.LOST
+
+
+async def test_response_counts_from_the_time_it_was_due(entry: FakeEntry) -> None:
+    record = await send(entry, start=time.monotonic() - 5, patience_s=30)
+    assert record.response_ms >= 5000
+    assert record.late_ms >= 5000
--- /dev/null
+++ b/tests/bench/test_messages.py
@@ -0,0 +1,60 @@
+"""Counting of messages and the ratios made of them."""
+
+import pytest
+from endivetally.bench_messages import message_costs
+from endivetally.bench_messages import parse_messages
+
+EXPOSITION = """\
+# HELP endivetally_messages_total Messages sent.
+# TYPE endivetally_messages_total counter
+endivetally_messages_total{message="Dispatch"} 12
+endivetally_messages_total{link="a",message="Outcome"} 11.0
+endivetally_messages_total{message="Outcome",link="b"} 1.0
+endivetally_messages_totally{message="Grant"} 5
+endivetally_frames_total 4
+"""
+
+
+class TestParse:
+    def test_sums_the_samples_of_a_class(self) -> None:
+        assert parse_messages(EXPOSITION) == {'Dispatch': 12, 'Outcome': 12}
+
+    def test_text_without_the_metric(self) -> None:
+        assert not parse_messages('other 1\n')
+
+
+class TestCosts:
+    @pytest.mark.parametrize(
+        ('sent', 'tasks', 'ratio', 'control', 'waste'),
+        [
+            ({'Dispatch': 10, 'Outcome': 10}, 10, 1, 0, {}),
+            (
+                {'Dispatch': 11, 'Outcome': 11, 'Grant': 3},
+                10,
+                1.25,
+                0,
+                {'Dispatch': 1, 'Outcome': 1, 'Grant': 3},
+            ),
+            (
+                {'Dispatch': 10, 'Outcome': 10, 'AgentState': 5, 'TextUpdate': 1},
+                10,
+                1,
+                0.3,
+                {},
+            ),
+            ({'Dispatch': 10, 'Outcome': 9}, 10, 0.95, 0, {'Outcome': -1}),
+            ({'Demand': 4}, 0, 0, 0, {'Demand': 4}),
+        ],
+    )
+    def test_ratios(
+        self,
+        sent: dict[str, int],
+        tasks: int,
+        ratio: float,
+        control: float,
+        waste: dict[str, int],
+    ) -> None:
+        costs = message_costs(sent, tasks)
+        assert costs.message_ratio == pytest.approx(ratio)
+        assert costs.control_ratio == pytest.approx(control)
+        assert costs.waste == waste
