--- a/tests/bench/test_load_worker.py
+++ b/tests/bench/test_load_worker.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import AsyncIterator
 
-import pytest
 import pytest_asyncio
 from endivetally.load_answers import Verdict
 from endivetally.load_mix import Arrival
