Register demo and bench, share the entry status type

Cause: the fleet decoded a status type of its own that the entry does not send. Ruled out: two types kept in step by hand. Conclusion: one EntryStatus in endivetally_core.

--- a/libs/endivetally-core/src/endivetally_core/status.py
+++ b/libs/endivetally-core/src/endivetally_core/status.py
@@ -53,3 +53,8 @@
     entries: list[str]
     services: list[ServiceStatus]
     targets: list[TargetStatus]
+
+    @property
+    def open_targets(self) -> int:
+        """How many targets take work."""
+        return sum(target.state == 'open' for target in self.targets)
--- a/libs/endivetally/src/endivetally/bench.py
+++ b/libs/endivetally/src/endivetally/bench.py
@@ -24,7 +24,10 @@
 DEFAULT_LOAD: Final = 0.8
 DEFAULT_SECONDS: Final = 20
 
+app = typer.Typer(add_completion=False)
 
+
+@app.command('bench')
 def bench(
     *,
     seed: Annotated[int, typer.Option(help='Seed of arrivals and run times.')] = 1,
@@ -78,11 +81,6 @@
         Console().print(report_table(name, run))
 
 
-def register(app: typer.Typer) -> None:
-    """Add the command to an application."""
-    app.command('bench')(bench)
-
-
 async def run_bench(plan: BenchPlan, *, with_naive: bool) -> dict[str, RunReport]:
     """Run our scheduler, then the naive one against the same ideal."""
     ours = await BenchRun(plan).run()
--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -22,6 +22,8 @@
         'config': 'endivetally.cli_config',
         'status': 'endivetally.cli_status',
         'report': 'endivetally.cli_report',
+        'demo': 'endivetally.demo',
+        'bench': 'endivetally.bench',
     },
 )
 
--- a/libs/endivetally/src/endivetally/demo.py
+++ b/libs/endivetally/src/endivetally/demo.py
@@ -37,7 +37,10 @@
 _EXIT_CHECK_FAILED: Final = 1
 _EXIT_BAD_INPUT: Final = 2
 
+app = typer.Typer(add_completion=False)
 
+
+@app.command('demo')
 def demo(
     *,
     requests: Annotated[
@@ -65,11 +68,6 @@
         raise typer.Exit(_EXIT_CHECK_FAILED)
 
 
-def register(app: typer.Typer) -> None:
-    """Add the command to an application."""
-    app.command('demo')(demo)
-
-
 async def run_demo(arrivals: list[Arrival], on_record: OnRecord) -> DemoReport:
     """Send the requests to a fresh fleet and report.
 
--- a/libs/endivetally/src/endivetally/fleet.py
+++ b/libs/endivetally/src/endivetally/fleet.py
@@ -192,6 +192,6 @@
     ) -> None:
         while True:
             status = await self.client.status(entry.url)
-            if status and status.version >= version and status.open_agents >= agents:
+            if status and status.version >= version and status.open_targets >= agents:
                 return
             await asyncio.sleep(_POLL_S)
--- a/libs/endivetally/src/endivetally/fleet_client.py
+++ b/libs/endivetally/src/endivetally/fleet_client.py
@@ -7,6 +7,7 @@
 from endivetally_config.text import OperatorsText
 from endivetally_config.text import encode_text
 from endivetally_core.shaping import ShapingRule
+from endivetally_core.status import EntryStatus
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
@@ -23,29 +24,6 @@
     """A process did not answer a call."""
 
 
-class AgentView(msgspec.Struct, frozen=True):
-    """An agent as an entry sees it."""
-
-    name: str
-    service: str
-    state: str
-
-
-class EntryStatus(msgspec.Struct, frozen=True):
-    """Answer of an entry to ``/v1/status``.
-
-    :param version: version of the text in force.
-    """
-
-    version: int
-    agents: list[AgentView]
-
-    @property
-    def open_agents(self) -> int:
-        """How many agents take work."""
-        return sum(1 for agent in self.agents if agent.state == 'open')
-
-
 class FleetClient:
     """Calls of operators, and of the bench to stand-ins.
 
