Acknowledge answered requests in batches

Ruled out: no acknowledgement at all, since a draining agent would wait for its whole drain time and results could not be told from those still needed. Conclusion: one message an agent each 10 s, at once to an agent that leaves.

--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -21,6 +21,7 @@
     from endivetally_policy.scheduling import Scheduler
     from endivetally_table.journal import Journal
 
+    from endivetally_entry.acknowledgements import Acknowledgements
     from endivetally_entry.dispatching import Dispatcher
     from endivetally_entry.exchange import Exchange
     from endivetally_entry.recovery import Recovery
@@ -49,6 +50,7 @@
         dispatcher: 'Dispatcher',
         journal: 'Journal',
         recovery: 'Recovery',
+        acknowledgements: 'Acknowledgements',
     ) -> None:
         self._roster = roster
         self._exchange = exchange
@@ -56,6 +58,7 @@
         self._dispatcher = dispatcher
         self._journal = journal
         self._recovery = recovery
+        self._acknowledgements = acknowledgements
 
     async def serve(self, identity: AgentIdentity, listener: 'LinkListener') -> None:
         """Serve one link until it ends, then wait for the next a little."""
@@ -108,6 +111,8 @@
         known.running = message.running
         known.memory_mb = message.memory_mb
         self._change_state(known, message.state)
+        if message.state == 'leaving':
+            self._acknowledgements.flush_agent(known.identity.incarnation)
 
     def handle(self, known: 'KnownAgent', message: AnyMessage) -> None:
         """Handle a message of an agent."""
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -42,6 +42,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from endivetally_entry.acknowledgements import Acknowledgements
 from endivetally_entry.agent_links import AgentLinks
 from endivetally_entry.dispatching import Dispatcher
 from endivetally_entry.entry_links import EntryLinks
@@ -207,6 +208,10 @@
     def _wire_agents(self) -> None:
         self.roster = AgentRoster()
         self.dispatcher = Dispatcher(self.scheduler, self.roster)
+        self.acknowledgements = Acknowledgements(
+            self.identity.incarnation,
+            self.roster,
+        )
         self.recovery = Recovery(self.table, self.roster)
         self.journal = Journal(self.table, self.identity)
         self.stack.callback(self.journal.close)
@@ -217,6 +222,7 @@
             self.dispatcher,
             self.journal,
             self.recovery,
+            self.acknowledgements,
         )
 
     def _wire_keys(self) -> None:
@@ -245,7 +251,7 @@
             self.admission,
             self.dispatcher,
             self.retries,
-            self.roster,
+            self.acknowledgements,
             sequences,
         )
         self.front = Front(
--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -11,7 +11,6 @@
 from endivetally_core.errors import Fenced
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import RunState
-from endivetally_core.messages import Acknowledge
 from endivetally_table.batches import JournalEntry
 
 from endivetally_entry.executions import Execution
@@ -26,11 +25,11 @@
     from endivetally_policy.retries import RetryPolicy
     from endivetally_table.journal import Journal
 
+    from endivetally_entry.acknowledgements import Acknowledgements
     from endivetally_entry.dispatching import Dispatcher
     from endivetally_entry.ledger import KeyLedger
     from endivetally_entry.ledger import KeyRecord
     from endivetally_entry.recovery import Recovery
-    from endivetally_entry.roster import AgentRoster
 
 _log = logging.getLogger(__name__)
 
@@ -52,7 +51,7 @@
         admission: 'Admission',
         dispatcher: 'Dispatcher',
         retries: 'RetryPolicy',
-        roster: 'AgentRoster',
+        acknowledgements: 'Acknowledgements',
         sequences: Iterator[int],
     ) -> None:
         self._incarnation = incarnation
@@ -62,7 +61,7 @@
         self._admission = admission
         self._dispatcher = dispatcher
         self._retries = retries
-        self._roster = roster
+        self._acknowledgements = acknowledgements
         self._sequences = sequences
         self._running: set[asyncio.Task[None]] = set()
 
@@ -140,9 +139,10 @@
             known,
         )
         record.execution = execution
-        results = await execution.run()
-        self._acknowledge(execution)
-        return results
+        try:
+            return await execution.run()
+        finally:
+            self._acknowledgements.add(execution.agents, execution.sequence)
 
     def _admit(self, request: CallerRequest, *, resumed: bool) -> None:
         now = asyncio.get_running_loop().time()
@@ -183,8 +183,3 @@
             if isinstance(error, RequestError):
                 raise
             raise RequestError(ErrorKind.PLATFORM_UNAVAILABLE) from error
-
-    def _acknowledge(self, execution: Execution) -> None:
-        message = Acknowledge(self._incarnation, [execution.sequence])
-        for agent in execution.agents:
-            self._roster.post(agent, message)
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -25,6 +25,7 @@
 
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
+ACKNOWLEDGE_INTERVAL_S: Final = 10
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
 PRUNE_INTERVAL_S: Final = 30
@@ -140,6 +141,7 @@
         loop = asyncio.get_running_loop()
         last_tick = loop.time()
         next_heartbeat = last_tick
+        next_flush = last_tick + ACKNOWLEDGE_INTERVAL_S
         while True:
             await asyncio.sleep(TICK_S)
             now = loop.time()
@@ -149,6 +151,9 @@
             if now >= next_heartbeat:
                 next_heartbeat = now + HEARTBEAT_S
                 self._send_heartbeats(now)
+            if now >= next_flush:
+                next_flush = now + ACKNOWLEDGE_INTERVAL_S
+                self._entry.acknowledgements.flush()
             await self._look_for_failures()
 
     async def _look_for_failures(self) -> None:
@@ -186,6 +191,7 @@
         deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
         while entry.open_requests and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
+        entry.acknowledgements.flush()
         entry.server.stop()
         await asyncio.sleep(LINGER_S)
         _log.info('entry stopped')
