--- a/tests/table/test_directory.py
+++ b/tests/table/test_directory.py
@@ -88,6 +88,18 @@
         assert len(set(shard_map.owners)) == 1
         assert shard_map.version == 1
 
+    async def test_late_join_of_a_retired_entry_does_not_land(self, table):
+        table.faults.late_commits = 3
+        with pytest.raises(TableUnavailable):
+            await ShardDirectory(table, retention_s=900).join(BETA)
+        await EntryRegistry(table).retire(BETA)
+        assert table.land_late_commits() == 0
+
+    async def test_nothing_goes_to_a_retired_entry(self, table, directory):
+        await EntryRegistry(table).retire(BETA)
+        shard_map = await directory.release(ALPHA, ALL, BETA.incarnation)
+        assert shard_map.shards_of(ALPHA.incarnation) == ALL
+
     async def test_unregistered(self, table):
         stranger = EntryIdentity('d', 'd.1', 'dc-1', Address('127.0.0.1', 1))
         with pytest.raises(Fenced):
--- a/tests/table/test_journal.py
+++ b/tests/table/test_journal.py
@@ -58,6 +58,14 @@
     return await asyncio.gather(*calls, return_exceptions=True)
 
 
+async def until(reached):
+    for _turn in range(1000):
+        if reached():
+            return
+        await asyncio.sleep(0.001)
+    pytest.fail('not reached')
+
+
 async def fence_alpha(table):
     directory = ShardDirectory(table, retention_s=900)
     return await directory.take_over(ALPHA.incarnation, BETA)
@@ -96,8 +104,7 @@
             ErrorKind.PLATFORM_UNAVAILABLE,
             RunState.NOT_RUN,
         )
-        while not journal.available:
-            await asyncio.sleep(0.001)
+        await until(lambda: journal.available)
         await journal.record(entry(1))
         table.land_late_commits()
         assert await recorded(table) == [[0], [1]]
@@ -144,8 +151,7 @@
         assert {error.kind for error in errors} == {ErrorKind.PLATFORM_UNAVAILABLE}
         assert journal.counters.refused == 3
         table.faults.down = False
-        while not journal.available:
-            await asyncio.sleep(0.001)
+        await until(lambda: journal.available)
         await journal.record(entry(3))
         assert await recorded(table) == [[3]]
 
@@ -162,8 +168,7 @@
         await record_all(journal, 0)
         table.faults.down = False
         await fence_alpha(table)
-        while not journal.fenced:
-            await asyncio.sleep(0.001)
+        await until(lambda: journal.fenced)
         with pytest.raises(Fenced):
             await journal.record(entry(1))
 
@@ -197,8 +202,7 @@
         journal.release_agents(frozenset({'agent.1'}))
         await record_all(journal, 0)
         table.faults.down = False
-        while not journal.available:
-            await asyncio.sleep(0.001)
+        await until(lambda: journal.available)
         await journal.record(entry(1))
         batches = await read_journal(table, ALPHA.incarnation)
         assert batches[-1].agents_removed == ('agent.1',)
