--- a/libs/endivetally-table/src/endivetally_table/directory.py
+++ b/libs/endivetally-table/src/endivetally_table/directory.py
@@ -20,6 +20,7 @@
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import EntryIdentity
 
+from endivetally_table.batches import delete_journal
 from endivetally_table.entries import decode_entry
 from endivetally_table.entries import entry_key
 from endivetally_table.entries import entry_put
@@ -160,6 +161,20 @@
             shard_map=shard_map,
         )
 
+    async def delete_expired(self) -> int:
+        """Delete rows and journals of ended entries that are no one's history.
+
+        :return: number of entries deleted.
+        :raises TableUnavailable: when the service does not answer; call again.
+        """
+        view = await self._read_view()
+        expired = view.expired()
+        for incarnation in expired:
+            await delete_journal(self._table, incarnation)
+            deletion = Put(entry_key(incarnation), None)
+            await self._table.commit(Transaction((), (deletion,)))
+        return len(expired)
+
     async def _carry_out(self, plan: DirectoryPlan) -> ShardMap:
         lost_answers = 0
         for attempt in range(CONFLICT_ATTEMPTS):
--- a/libs/endivetally-table/src/endivetally_table/journal.py
+++ b/libs/endivetally-table/src/endivetally_table/journal.py
@@ -27,6 +27,7 @@
 from endivetally_table.batches import encode_batch
 from endivetally_table.entries import while_live
 from endivetally_table.pending import PendingBatch
+from endivetally_table.segments import Pruning
 from endivetally_table.segments import SegmentLog
 from endivetally_table.table import Condition
 from endivetally_table.table import Put
@@ -151,13 +152,11 @@
         :raises Fenced: another entry has taken over.
         :raises TableUnavailable: when the service does not answer; call again.
         """
-        pruning = self._segments.plan(older_than)
-        if pruning is None:
-            return 0
-        conditions = (while_live(self._incarnation),)
-        await self._table.commit(Transaction(conditions, pruning.puts))
-        self._segments.prune(pruning)
-        return pruning.deleted
+        deleted = 0
+        while pruning := self._segments.plan(older_than):
+            await self._commit_pruning(pruning)
+            deleted += pruning.deleted
+        return deleted
 
     def close(self) -> None:
         """End the writer; entries that wait are refused."""
@@ -165,8 +164,17 @@
         self._available = False
         self._ready.clear()
         self._idle.set()
-        self._in_flight.fail(_unavailable())
-        self._pending.fail(_unavailable())
+        self._in_flight.fail(_unavailable)
+        self._pending.fail(_unavailable)
+
+    async def _commit_pruning(self, pruning: Pruning) -> None:
+        conditions = (while_live(self._incarnation),)
+        try:
+            await self._table.commit(Transaction(conditions, pruning.puts))
+        except TableConflict as error:
+            self._end()
+            raise Fenced(self._incarnation) from error
+        self._segments.prune(pruning)
 
     def _check_open(self) -> None:
         if self._fenced:
@@ -196,8 +204,8 @@
             await asyncio.wait_for(self._commit(number, batch), self._settle_timeout_s)
         except (TableUnavailable, TimeoutError):
             self._refuse(taken)
-        except Fenced as error:
-            self._end(taken, error)
+        except Fenced:
+            self._end()
         else:
             self._written(number, batch, taken)
 
@@ -249,16 +257,19 @@
         self._ready.clear()
         for pending in (taken, refused):
             self.counters.refused += pending.size
-            pending.fail(_unavailable())
+            pending.fail(_unavailable)
             self._pending.remove_agents(pending.agents_removed)
 
-    def _end(self, taken: PendingBatch, error: Fenced) -> None:
+    def _end(self) -> None:
         self._fenced = True
         self._ready.clear()
-        taken.fail(error)
-        self._pending.fail(error)
+        self._in_flight.fail(self._new_fenced)
+        self._pending.fail(self._new_fenced)
         self._admitted = frozenset()
 
+    def _new_fenced(self) -> Fenced:
+        return Fenced(self._incarnation)
+
     async def _probe(self) -> None:
         """Commit nothing, under the writer's condition, until it works."""
         transaction = Transaction((while_live(self._incarnation),), ())
@@ -271,7 +282,7 @@
         try:
             await self._table.commit(transaction)
         except TableConflict:
-            self._end(PendingBatch(), Fenced(self._incarnation))
+            self._end()
         self._available = True
 
 
--- a/libs/endivetally-table/src/endivetally_table/pending.py
+++ b/libs/endivetally-table/src/endivetally_table/pending.py
@@ -1,6 +1,7 @@
 """What waits for the next write of a journal."""
 
 import asyncio
+from collections.abc import Callable
 from itertools import islice
 from typing import Final
 
@@ -76,10 +77,10 @@
         for waiter in self._waiters():
             waiter.set_result(None)
 
-    def fail(self, error: Exception) -> None:
-        """Tell every caller that its record will never be acted on."""
+    def fail(self, new_error: Callable[[], Exception]) -> None:
+        """Tell every caller, by an error of its own, that it may not start."""
         for waiter in self._waiters():
-            waiter.set_exception(error)
+            waiter.set_exception(new_error())
 
     def _take_agents(
         self, waiters: list[Waiter], added: frozenset[str], removed: frozenset[str]
--- a/libs/endivetally-table/src/endivetally_table/plans.py
+++ b/libs/endivetally-table/src/endivetally_table/plans.py
@@ -39,6 +39,14 @@
         if not self.is_live(incarnation):
             raise Fenced(incarnation)
 
+    def expired(self) -> tuple[str, ...]:
+        """Return the ended entries that own no shard and are no one's history."""
+        kept = {former.incarnation for former in self.shard_map.former}
+        kept.update(self.shard_map.owners)
+        return tuple(
+            name for name in self.entries if name not in kept and not self.is_live(name)
+        )
+
     def moves_away(
         self, incarnation: str, among: Collection[str] | None
     ) -> tuple[ShardMove, ...]:
--- a/tests/table/test_directory.py
+++ b/tests/table/test_directory.py
@@ -13,6 +13,8 @@
 from endivetally_table.shards import SHARD_COUNT
 from endivetally_table.shards import ShardMap
 from endivetally_table.shards import ShardMove
+from endivetally_table.table import Put
+from endivetally_table.table import Transaction
 
 NOW = 1000.0
 NAMES = ('alpha', 'beta', 'gamma')
@@ -178,6 +180,22 @@
         assert GAMMA.incarnation not in shard_map.owners
 
 
+class TestDeleteExpired:
+    async def test_only_after_the_retention(self, table):
+        now = [NOW]
+        directory = ShardDirectory(table, retention_s=900, clock=lambda: now[0])
+        await directory.join(ALPHA)
+        await table.commit(Transaction((), (Put('journal/alpha.1/0', b''),)))
+        await directory.take_over(ALPHA.incarnation, BETA)
+        assert await directory.delete_expired() == 0
+        now[0] += 1000
+        await directory.leave(GAMMA)
+        assert await directory.delete_expired() == 1
+        assert await table.scan('journal/') == []
+        assert await EntryRegistry(table).fenced() == []
+        assert await EntryRegistry(table).live() == [BETA]
+
+
 class TestShardMap:
     def test_former_owners_go_after_the_retention(self):
         first = ShardMap(owners=('a',) * SHARD_COUNT)
--- a/tests/table/test_journal.py
+++ b/tests/table/test_journal.py
@@ -127,6 +127,8 @@
             await journal.record(entry(1))
         with pytest.raises(Fenced):
             await journal.admit_agents(frozenset({'agent.1'}))
+        with pytest.raises(Fenced):
+            await journal.prune(older_than=1)
         assert await recorded(table) == [[0]]
 
     async def test_late_write_does_not_land_after_takeover(self, table, journal):
