--- /dev/null
+++ b/tests/policy/builders.py
@@ -0,0 +1,42 @@
+"""Builders of the records that the policy tests use."""
+
+from endivetally_config.text import ServiceKind
+from endivetally_core.joining import AgentIdentity
+from endivetally_core.messages import TaskName
+from endivetally_policy.scheduling import PendingTask
+
+SERVICE = 'lookup'
+
+
+def identity(number, data_centre='dc1', service=SERVICE, slots=8):
+    return AgentIdentity(
+        name=f'agent-{number}',
+        incarnation=f'agent-{number}.0',
+        data_centre=data_centre,
+        rack=f'rack-{number // 3}',
+        service=service,
+        slots=slots,
+        connections=64,
+        memory_mb=32_768,
+    )
+
+
+def task(number=0, sequence=0, team='a', **fields):
+    values = {
+        'service': SERVICE,
+        'kind': ServiceKind.IDEMPOTENT,
+        'priority': 1,
+        'weight': 1,
+        'deadline': 10.0,
+        'enqueued_at': 0.0,
+    }
+    values.update(fields)
+    name = TaskName('entry-1.0', sequence, number, 0)
+    return PendingTask(name=name, team=team, **values)
+
+
+def join(scheduler, count, granted=0, **fields):
+    for number in range(count):
+        agent = identity(number, **fields)
+        scheduler.agent_joined(agent, 0.0)
+        scheduler.credits_granted(agent.incarnation, granted, 0.0)
--- /dev/null
+++ b/tests/policy/test_estimates.py
@@ -0,0 +1,38 @@
+"""Learned run times."""
+
+import pytest
+from endivetally_policy.estimates import RunTimeEstimate
+from endivetally_policy.estimates import RunTimeEstimates
+
+
+class TestRunTimes:
+    @pytest.mark.parametrize('declared_ms', [1, 100, 60_000])
+    def test_wrong_declaration_is_corrected(self, declared_ms):
+        estimates = RunTimeEstimates()
+        estimates.declare('lookup', declared_ms)
+        for number in range(200):
+            estimates.observe('lookup', 100 + number % 10)
+        learned = estimates.of('lookup')
+        assert learned.mean_s == pytest.approx(0.1045, rel=0.1)
+        assert 0.1 <= learned.p50_s <= learned.p95_s <= 0.11
+
+    def test_prior_until_enough_is_known(self):
+        estimate = RunTimeEstimate(0.2)
+        assert estimate.mean_s == estimate.p50_s == 0.2
+        assert estimate.p95_s == pytest.approx(0.6)
+        estimate.observe(5)
+        assert estimate.p50_s == 0.2
+
+    def test_later_declaration_does_not_replace_what_was_learned(self):
+        estimates = RunTimeEstimates()
+        for _ in range(50):
+            estimates.observe('lookup', 100)
+        estimates.declare('lookup', 9000)
+        assert estimates.of('lookup').mean_s == pytest.approx(0.1, rel=0.2)
+
+    def test_change_of_run_time_is_followed(self):
+        estimate = RunTimeEstimate(0.1)
+        for run_s in [0.1] * 500 + [1.0] * 600:
+            estimate.observe(run_s)
+        assert estimate.mean_s == pytest.approx(1, rel=0.05)
+        assert estimate.p50_s == 1
--- /dev/null
+++ b/tests/policy/test_fair_queue.py
@@ -0,0 +1,143 @@
+"""Order, fairness and withdrawal in the fair queue."""
+
+from collections import Counter
+
+import pytest
+from endivetally_policy.scheduling import FairQueue
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from policy.builders import task
+from policy.naive_queue import ListQueue
+
+WEIGHTS = {'a': 1, 'b': 2, 'c': 3}
+
+pushes = st.tuples(
+    st.just('push'),
+    st.sampled_from('abc'),
+    st.integers(0, 2),
+    st.integers(0, 4),
+    st.integers(1, 9),
+)
+steps = st.lists(
+    st.one_of(
+        pushes,
+        pushes,
+        st.tuples(st.just('pop')),
+        st.tuples(st.just('withdraw'), st.integers(0, 4)),
+        st.tuples(st.just('expire'), st.integers(1, 9)),
+    ),
+    max_size=80,
+)
+
+
+def drain(queue):
+    return [queue.pop() for _ in range(len(queue))]
+
+
+class TestOrder:
+    def test_fifo_within_a_team(self):
+        queue = FairQueue()
+        tasks = [task(number) for number in range(5)]
+        for each in tasks:
+            queue.push(each)
+        assert queue.peek() is tasks[0]
+        assert drain(queue) == tasks
+
+    def test_priority_goes_first(self):
+        queue = FairQueue()
+        late = task(0, priority=2)
+        early = task(1, priority=0)
+        queue.push(late)
+        queue.push(early)
+        assert drain(queue) == [early, late]
+
+    def test_large_job_does_not_block_another_team(self):
+        queue = FairQueue()
+        for number in range(1800):
+            queue.push(task(number, team='a'))
+        queue.push(task(0, sequence=1, team='b'))
+        assert 'b' in {queue.pop().team for _ in range(2)}
+
+    def test_restored_task_is_next(self):
+        queue = FairQueue()
+        for number in range(3):
+            queue.push(task(number))
+        first = queue.pop()
+        queue.restore(first)
+        assert queue.peek() is first
+        assert queue.first_deadline() == first.deadline
+
+    def test_empty(self):
+        queue = FairQueue()
+        assert queue.peek() is None
+        assert queue.first_deadline() is None
+        with pytest.raises(IndexError):
+            queue.pop()
+
+
+class TestFairness:
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(1, 5), min_size=2, max_size=5), st.integers(1, 60))
+    def test_share_follows_weight_while_all_wait(self, weights, rounds):
+        queue = FairQueue()
+        for index, weight in enumerate(weights):
+            for number in range(weight * rounds):
+                queue.push(task(number, index, team=str(index), weight=weight))
+        served = Counter(queue.pop().team for _ in range(sum(weights) * rounds // 2))
+        for index, weight in enumerate(weights):
+            fair = weight * rounds / 2
+            assert abs(served[str(index)] - fair) <= weight
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, 30), min_size=2, max_size=4), st.integers(1, 20))
+    def test_ahead_tells_the_place_within_one_round(self, backlogs, count):
+        queue = FairQueue()
+        for index, backlog in enumerate(backlogs):
+            for number in range(backlog):
+                queue.push(task(number, index, team=str(index)))
+        told = queue.ahead(1, 'new', 1, count)
+        last = task(count - 1, 99, team='new')
+        for number in range(count):
+            queue.push(task(number, 99, team='new'))
+        measured = drain(queue).index(last) - (count - 1)
+        assert told - len(backlogs) <= measured <= told
+
+
+class TestAgainstList:
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(steps)
+    def test_same_answers(self, plan):
+        queue = FairQueue()
+        naive = ListQueue()
+        for number, step in enumerate(plan):
+            self.apply(queue, naive, number, step)
+            assert len(queue) == len(naive.tasks)
+        while naive.tasks:
+            assert queue.pop() == naive.pop()
+
+    def apply(self, queue, naive, number, step):
+        if step[0] == 'push':
+            _, team, priority, sequence, deadline = step
+            pushed = task(
+                number,
+                sequence,
+                team,
+                priority=priority,
+                weight=WEIGHTS[team],
+                deadline=deadline,
+            )
+            queue.push(pushed)
+            naive.push(pushed)
+        elif step[0] == 'pop' and naive.tasks:
+            assert queue.pop() == naive.pop()
+        elif step[0] == 'withdraw':
+            taken = queue.withdraw('entry-1.0', step[1])
+            assert taken == naive.withdraw('entry-1.0', step[1])
+        elif step[0] == 'expire':
+            taken = queue.pop_until_deadline(step[1])
+            assert by_name(taken) == by_name(naive.pop_until_deadline(step[1]))
+
+
+def by_name(tasks):
+    return sorted(each.name.number for each in tasks)
--- /dev/null
+++ b/tests/policy/test_quotas.py
@@ -0,0 +1,129 @@
+"""Token buckets, and quotas held across entries."""
+
+import random
+
+import pytest
+from endivetally_policy.quotas import TeamQuotas
+from endivetally_policy.quotas import TokenBucket
+
+TEAM = 'a'
+LIMIT = 300.0
+
+
+class Entries:
+    """Entries that exchange reports once a second, each with offered load."""
+
+    def __init__(self, offered):
+        self.offered = offered
+        self.quotas = [TeamQuotas() for _ in offered]
+        self.random = random.Random(1)
+        for quotas in self.quotas:
+            quotas.set_limits({TEAM: LIMIT}, 0)
+
+    def run(self, first, last, cut=frozenset()):
+        admitted = [0] * len(self.quotas)
+        for second in range(first, last):
+            for index, quotas in enumerate(self.quotas):
+                admitted[index] += self.offer(quotas, self.offered[index], second)
+            self.exchange(second + 1, cut)
+        return [count / (last - first) for count in admitted]
+
+    def offer(self, quotas, rate, second):
+        admitted = 0
+        times = sorted(self.random.random() for _ in range(rate))
+        for time in times:
+            if quotas.ask(TEAM, 1, second + time) == 0:
+                quotas.take(TEAM, 1, second + time)
+                admitted += 1
+        return admitted
+
+    def exchange(self, now, cut):
+        for sender, quotas in enumerate(self.quotas):
+            quotas.tick(now)
+            for receiver, other in enumerate(self.quotas):
+                if sender != receiver and not cut & {sender, receiver}:
+                    other.report(str(sender), quotas.demand, now)
+
+
+class TestBucket:
+    def test_rate_holds_after_the_burst(self):
+        bucket = TokenBucket(10, 0)
+        taken = 0
+        for tick in range(1000):
+            if bucket.wait_s(1, tick / 100) == 0:
+                bucket.take(1, tick / 100)
+                taken += 1
+        assert taken == pytest.approx(10 * 10 + 10, abs=2)
+
+    def test_job_above_the_burst_is_paid_off(self):
+        bucket = TokenBucket(10, 0)
+        assert bucket.wait_s(100, 0) == 0
+        bucket.take(100, 0)
+        assert bucket.wait_s(1, 0) == pytest.approx(9.1)
+        assert bucket.wait_s(1, 9.2) == 0
+
+    def test_time_that_goes_back_earns_nothing(self):
+        bucket = TokenBucket(10, 5)
+        bucket.take(10, 5)
+        assert bucket.wait_s(1, 4) == pytest.approx(0.1)
+
+
+class TestAcrossEntries:
+    @pytest.mark.parametrize(
+        'offered',
+        [
+            [300, 300, 300],
+            [900, 0, 0],
+            [720, 135, 45],
+            [1000, 30, 30, 30, 30],
+            [100, 100, 100, 100, 100, 100, 100, 100],
+        ],
+        ids=['even', 'one', 'skewed', 'one heavy', 'eight'],
+    )
+    def test_total_is_near_the_quota(self, offered):
+        entries = Entries(offered)
+        entries.run(0, 10)
+        assert sum(entries.run(10, 40)) == pytest.approx(LIMIT, rel=0.1)
+
+    def test_load_that_moves_is_followed(self):
+        entries = Entries([900, 0, 0])
+        entries.run(0, 20)
+        entries.offered = [0, 0, 900]
+        entries.run(20, 30)
+        assert sum(entries.run(30, 50)) == pytest.approx(LIMIT, rel=0.1)
+
+    def test_below_the_quota_nothing_is_refused(self):
+        entries = Entries([150, 50, 20])
+        entries.run(0, 10)
+        assert sum(entries.run(10, 30)) == 220
+
+    def test_cut_off_entry_keeps_its_fair_share(self):
+        entries = Entries([900, 900, 900])
+        entries.run(0, 10)
+        entries.run(10, 15, cut={0})
+        rates = entries.run(15, 30, cut={0})
+        assert rates == pytest.approx([100, 100, 100], rel=0.1)
+
+    def test_part_of_a_left_entry_goes_to_the_others(self):
+        entries = Entries([900, 900])
+        entries.run(0, 10)
+        entries.quotas[0].forget('1')
+        entries.quotas[0].tick(11)
+        assert entries.quotas[0].rate(TEAM) == LIMIT
+
+    def test_entry_without_load_may_start_at_once(self):
+        entries = Entries([900, 0])
+        entries.run(0, 20)
+        assert entries.quotas[1].rate(TEAM) >= LIMIT / 2 / 4
+        assert entries.quotas[1].ask(TEAM, 1, 20) == 0
+
+
+class TestLimits:
+    def test_unlimited_team(self):
+        assert TeamQuotas().ask('other', 1000, 0) == 0
+
+    def test_removed_team_has_no_bucket(self):
+        quotas = TeamQuotas()
+        quotas.set_limits({TEAM: 1}, 0)
+        quotas.set_limits({}, 0)
+        assert quotas.ask(TEAM, 1000, 0) == 0
--- /dev/null
+++ b/tests/policy/test_retries.py
@@ -0,0 +1,115 @@
+"""The decision table of retries, their budget, and hedges."""
+
+import pytest
+from endivetally_config.text import ServiceKind
+from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import RunState
+from endivetally_policy.estimates import RunTimeEstimates
+from endivetally_policy.hedging import NEVER
+from endivetally_policy.hedging import NoHedging
+from endivetally_policy.hedging import QuantileHedging
+from endivetally_policy.retries import EndedBinding
+from endivetally_policy.retries import RetryPolicy
+
+LOOKUP = ServiceKind.IDEMPOTENT
+NOTE = ServiceKind.NON_IDEMPOTENT
+JOB = ServiceKind.JOB
+
+
+def ended(status, kind, refusals=0, starts=1, deadline=10.0):
+    return EndedBinding(status, 'service', kind, refusals, starts, deadline)
+
+
+class TestTable:
+    @pytest.mark.parametrize('kind', [LOOKUP, NOTE, JOB])
+    @pytest.mark.parametrize('refusals', [1, 5, 100])
+    def test_refused_is_bound_again(self, kind, refusals):
+        decision = RetryPolicy().decide(ended('refused', kind, refusals, 0), 1)
+        assert decision.error is None
+        assert 0 <= decision.delay_s <= 1
+
+    @pytest.mark.parametrize('status', ['failed', 'unknown'])
+    def test_idempotent_is_retried(self, status):
+        assert RetryPolicy().decide(ended(status, LOOKUP), 1).error is None
+
+    @pytest.mark.parametrize(
+        ('status', 'kind', 'starts', 'now', 'error', 'ran'),
+        [
+            ('failed', NOTE, 1, 1, ErrorKind.TASK_FAILED, RunState.RAN),
+            ('failed', JOB, 1, 1, ErrorKind.TASK_FAILED, RunState.RAN),
+            ('unknown', NOTE, 1, 1, ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+            ('unknown', JOB, 1, 1, ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+            ('running', JOB, 1, 1, ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+            ('failed', LOOKUP, 4, 1, ErrorKind.TASK_FAILED, RunState.RAN),
+            ('unknown', LOOKUP, 4, 1, ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+            ('cancelled', LOOKUP, 1, 1, ErrorKind.CANCELLED, RunState.UNKNOWN),
+            ('cancelled', JOB, 1, 1, ErrorKind.CANCELLED, RunState.UNKNOWN),
+            ('refused', NOTE, 0, 10, ErrorKind.DEADLINE_EXCEEDED, RunState.NOT_RUN),
+            ('refused', LOOKUP, 1, 10, ErrorKind.DEADLINE_EXCEEDED, RunState.UNKNOWN),
+            ('failed', LOOKUP, 1, 10, ErrorKind.DEADLINE_EXCEEDED, RunState.RAN),
+            ('failed', JOB, 1, 10, ErrorKind.TASK_FAILED, RunState.RAN),
+        ],
+    )
+    def test_given_up(self, status, kind, starts, now, error, ran):
+        decision = RetryPolicy().decide(ended(status, kind, 0, starts), now)
+        assert (decision.error, decision.ran) == (error, ran)
+
+
+class TestBudget:
+    def test_service_that_fails_all_is_not_stormed(self):
+        policy = RetryPolicy(share=0.1, burst=10)
+        retried = 0
+        for _ in range(1000):
+            policy.bound('service')
+            decision = policy.decide(ended('failed', LOOKUP), 1)
+            retried += int(decision.error is None)
+        assert 100 <= retried <= 110
+
+    def test_refusals_cost_no_budget(self):
+        policy = RetryPolicy(share=0, burst=0)
+        assert policy.decide(ended('refused', LOOKUP, 1, 0), 1).error is None
+        assert policy.decide(ended('failed', LOOKUP), 1).error is not None
+
+    def test_services_do_not_share_a_budget(self):
+        policy = RetryPolicy(share=0, burst=1)
+        assert policy.budget('one').spend()
+        assert not policy.budget('one').spend()
+        assert policy.budget('two').spend()
+
+
+class TestHedging:
+    def hedging(self, observations=200, burst=2):
+        estimates = RunTimeEstimates()
+        for number in range(observations):
+            estimates.observe('service', 100 if number % 10 else 1000)
+        return QuantileHedging(estimates, RetryPolicy(share=0, burst=burst))
+
+    @pytest.mark.parametrize(
+        ('kind', 'deadline', 'observations', 'hedged'),
+        [
+            (LOOKUP, 10, 200, True),
+            (NOTE, 10, 200, False),
+            (JOB, 10, 200, False),
+            (LOOKUP, 1, 200, False),
+            (LOOKUP, 10, 50, False),
+        ],
+        ids=['idempotent', 'non-idempotent', 'job', 'no time left', 'not learned'],
+    )
+    def test_only_where_it_is_safe_and_useful(
+        self,
+        kind,
+        deadline,
+        observations,
+        hedged,
+    ):
+        policy = self.hedging(observations)
+        hedge_at = policy.hedge_at('service', kind, 0, deadline)
+        assert (hedge_at != NEVER) is hedged
+
+    def test_inside_the_retry_budget(self):
+        policy = self.hedging(burst=2)
+        assert [policy.take('service') for _ in range(3)] == [True, True, False]
+
+    def test_off(self):
+        assert NoHedging().hedge_at('service', LOOKUP, 0, 10) == NEVER
+        assert not NoHedging().take('service')
