Match the status and history calls to the entry

The burn ring takes the code of an answer, as the entry counts it; the status types are those that the entry fills.

--- a/libs/endivetally-config/src/endivetally_config/calls.py
+++ b/libs/endivetally-config/src/endivetally_config/calls.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-from endivetally_config.store import TextChange
-
 # Names the person or pipeline behind a submission, for the history.
 SUBMITTER_HEADER: Final = 'X-Submitter'
 
@@ -14,9 +12,3 @@
     """Answer of ``PUT /v1/text``: the version that is in force from now on."""
 
     version: int
-
-
-class TextHistory(msgspec.Struct, frozen=True):
-    """Answer of ``GET /v1/text/history``, oldest change first."""
-
-    changes: list[TextChange]
--- a/libs/endivetally-core/src/endivetally_core/burn.py
+++ b/libs/endivetally-core/src/endivetally_core/burn.py
@@ -18,6 +18,9 @@
 BUCKET_S: Final = 10
 RING_BUCKETS: Final = 2160
 
+# Code of a whole answer.
+OK: Final = 'ok'
+
 # Kind of a whole answer that came later than the objective allows.
 SLOW: Final = 'slow'
 
@@ -101,26 +104,24 @@
     def record(
         self,
         service: str,
-        kind: ErrorKind | None,
+        code: str,
         seconds: float,
         objective: ServiceObjective,
     ) -> None:
         """Count one answer.
 
-        :param kind: ``None`` for a whole answer.
+        :param code: `OK` for a whole answer, else the code of an error kind.
         :param seconds: response time.
         """
-        if kind in CALLER_FAULTS:
+        if code in CALLER_FAULTS:
             return
         ring = self._services.get(service)
         if ring is None:
             ring = _ServiceRing()
             self._services[service] = ring
         ring.objective = objective
-        code = '' if kind is None else kind.value
-        if kind is None and seconds * 1000 > objective.response_ms:
-            code = SLOW
-        ring.count(int(self._clock()) // BUCKET_S, code)
+        slow = code == OK and seconds * 1000 > objective.response_ms
+        ring.count(int(self._clock()) // BUCKET_S, SLOW if slow else code)
 
     def snapshot(self, entry: str, version: int) -> BurnSnapshot:
         """Return the counts that are not older than the ring."""
@@ -149,13 +150,13 @@
         self._bad: dict[str, array[int]] = {}
 
     def count(self, number: int, code: str) -> None:
-        """Count an answer in a bucket; an empty code is a good one."""
+        """Count an answer in a bucket."""
         slot = number % RING_BUCKETS
         if self._numbers[slot] != number:
             self._numbers[slot] = number
             for counts in (self._good, *self._bad.values()):
                 counts[slot] = 0
-        if not code:
+        if code == OK:
             self._good[slot] += 1
             return
         if code not in self._bad:
--- a/libs/endivetally-core/src/endivetally_core/status.py
+++ b/libs/endivetally-core/src/endivetally_core/status.py
@@ -2,35 +2,30 @@
 
 import msgspec
 
+from endivetally_core.joining import EntryIdentity
 
-class TargetStatus(msgspec.Struct, frozen=True):
-    """A target as one entry sees it.
 
-    :param agent: name of the agent beside it.
-    :param state: ``open``, ``leaving``, ``closed`` or ``ejected``.
+class AgentStatus(msgspec.Struct, frozen=True):
+    """An agent with its target as one entry sees it.
+
+    :param state: ``open``, ``leaving`` or ``closed``.
     :param running: tasks at the target, by its last heartbeat.
+    :param credits: start credits that the entry holds.
+    :param admitted: new work may be sent there.
+    :param ejected: left out because its tasks fail.
     """
 
-    agent: str
+    name: str
+    incarnation: str
     service: str
     data_centre: str
     rack: str
     state: str
     running: int
     slots: int
-    memory_mb: int = 0
-
-
-class ServiceStatus(msgspec.Struct, frozen=True):
-    """Work of one service at one entry.
-
-    :param waiting: tasks that wait for a slot.
-    :param running: tasks sent and not answered.
-    """
-
-    service: str
-    waiting: int
-    running: int
+    credits: int
+    admitted: bool
+    ejected: bool
 
 
 class EntryStatus(msgspec.Struct, frozen=True):
@@ -38,18 +33,15 @@
 
     :param state: ``open``, ``leaving`` or why it is not ready.
     :param version: version of the operators' text in force.
-    :param platform: whether the table service answers.
-    :param shards: shards that the entry owns.
-    :param entries: ``host:port`` of every entry that it knows, itself included.
+    :param entries: the entries that it knows, itself included.
+    :param in_progress: requests and bindings without an end.
+    :param platform_available: whether the table service answers.
     """
 
-    name: str
-    incarnation: str
-    data_centre: str
+    entry: EntryIdentity
     state: str
     version: int
-    platform: bool
-    shards: int
-    entries: list[str]
-    services: list[ServiceStatus]
-    targets: list[TargetStatus]
+    agents: list[AgentStatus]
+    entries: list[EntryIdentity]
+    in_progress: int
+    platform_available: bool
--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -14,8 +14,9 @@
     '3 no answer or the platform is down, 4 conflict with another submission.'
 )
 
-# Modules of the commands, each with a Typer application named ``app``. They are
-# imported when they are called, so that a daemon does not load the reports.
+# Modules of the commands; the ``register`` function of each adds the command to
+# an application. They are imported when they are called, so that a daemon does
+# not load the reports.
 COMMANDS: Final[Mapping[str, str]] = MappingProxyType(
     {
         'serve': 'endivetally.cli_serve',
@@ -38,7 +39,9 @@
         module_name = COMMANDS.get(cmd_name)
         if module_name is None:
             return None
-        command = typer.main.get_command(importlib.import_module(module_name).app)
+        single = typer.Typer(add_completion=False, no_args_is_help=True)
+        importlib.import_module(module_name).register(single)
+        command = typer.main.get_command(single)
         command.name = cmd_name
         return command
 
--- a/libs/endivetally/src/endivetally/cli_client.py
+++ b/libs/endivetally/src/endivetally/cli_client.py
@@ -6,7 +6,7 @@
 import msgspec
 from endivetally_config.calls import SUBMITTER_HEADER
 from endivetally_config.calls import TextAccepted
-from endivetally_config.calls import TextHistory
+from endivetally_config.store import TextChange
 from endivetally_config.text import VersionedText
 from endivetally_core.burn import BurnSnapshot
 from endivetally_core.errors import EndivetallyError
@@ -59,9 +59,9 @@
         """Return the text in force at the entry."""
         return await self._read('/v1/text', VersionedText)
 
-    async def read_history(self) -> TextHistory:
-        """Return the changes of the text."""
-        return await self._read('/v1/text/history', TextHistory)
+    async def read_history(self) -> list[TextChange]:
+        """Return the changes of the text, oldest first."""
+        return await self._read('/v1/text/history', list[TextChange])
 
     async def read_status(self) -> EntryStatus:
         """Return what the entry sees."""
--- a/libs/endivetally/src/endivetally/cli_config.py
+++ b/libs/endivetally/src/endivetally/cli_config.py
@@ -32,8 +32,6 @@
     typer.Argument(metavar='FILE', exists=True, dir_okay=False, help='Text in JSON.'),
 ]
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
-
 
 class CheckResult(msgspec.Struct, frozen=True):
     """Output of ``config check --json``."""
@@ -42,12 +40,10 @@
     faults: list[Fault]
 
 
-@app.callback()
 def _config() -> None:
     """Check, submit and follow the operators' text."""
 
 
-@app.command('check')
 def check(file: TextArgument, as_json: JsonOption = False) -> None:
     """Check a text without submitting it; every fault is listed with its path."""
     faults = _find_faults(file.read_bytes())
@@ -61,7 +57,6 @@
         raise typer.Exit(ExitCode.FAILED)
 
 
-@app.command('submit')
 def submit(
     file: TextArgument,
     entry: EntryOption,
@@ -97,7 +92,6 @@
         typer.echo(f'version {version} is in force')
 
 
-@app.command('show')
 def show(
     entry: EntryOption,
     token: TokenOption = '',
@@ -116,7 +110,6 @@
     typer.echo(json.dumps(msgspec.to_builtins(current.text), indent=2))
 
 
-@app.command('history')
 def history(
     entry: EntryOption,
     token: TokenOption = '',
@@ -128,7 +121,7 @@
     """List who changed the text and when, newest last."""
     client = OperatorClient(entry, read_token(token, token_file), timeout_s)
     with exit_on_errors():
-        changes = asyncio.run(client.read_history()).changes[-limit:]
+        changes = asyncio.run(client.read_history())[-limit:]
     if as_json:
         print_json(changes)
         return
@@ -143,6 +136,15 @@
     Console().print(table)
 
 
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.callback()(_config)
+    app.command('check')(check)
+    app.command('submit')(submit)
+    app.command('show')(show)
+    app.command('history')(history)
+
+
 def _find_faults(encoded: bytes) -> tuple[Fault, ...]:
     try:
         check_text(encoded)
--- a/libs/endivetally/src/endivetally/cli_report.py
+++ b/libs/endivetally/src/endivetally/cli_report.py
@@ -41,15 +41,11 @@
     typer.Option(help='Ask the other entries that the given ones know as well.'),
 ]
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
 
-
-@app.callback()
 def _report() -> None:
     """Report on the service."""
 
 
-@app.command('burn')
 def report_burn(
     entry: EntriesOption,
     token: TokenOption = '',
@@ -79,6 +75,12 @@
         Console().print(render_table(report))
 
 
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.callback()(_report)
+    app.command('burn')(report_burn)
+
+
 class _BurnReader:
     """Collects the counts of several entries at once."""
 
@@ -116,7 +118,7 @@
             status = await self._client(entry).read_status()
         except EndivetallyError:
             return []
-        return [parse_address(address) for address in status.entries]
+        return [known.address for known in status.entries]
 
     def _client(self, entry: Address) -> OperatorClient:
         return OperatorClient(entry, self._token, self._timeout_s)
--- a/libs/endivetally/src/endivetally/cli_serve.py
+++ b/libs/endivetally/src/endivetally/cli_serve.py
@@ -16,28 +16,31 @@
     typer.Option('--settings', metavar='FILE', help='Settings of the daemon in JSON.'),
 ]
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
 
-
-@app.callback()
 def _serve() -> None:
     """Run a daemon until SIGTERM, which drains it."""
 
 
-@app.command('entry')
 def serve_entry(settings: SettingsOption) -> None:
     """Run an entry, which takes the requests of callers and operators."""
     with exit_on_errors():
         loaded = load_settings(settings, EntrySettings)
-    importlib.import_module('endivetally_entry').run_entry(loaded)
+    raise typer.Exit(importlib.import_module('endivetally_entry').run_entry(loaded))
 
 
-@app.command('agent')
 def serve_agent(settings: SettingsOption) -> None:
     """Run an agent beside a target.
 
     ``python -m endivetally_agent FILE`` does the same in less memory.
     """
     with exit_on_errors():
-        loaded = load_settings(settings, AgentSettings)
-    importlib.import_module('endivetally_agent').run_agent(loaded)
+        load_settings(settings, AgentSettings)
+    daemon = importlib.import_module('endivetally_agent.__main__')
+    raise typer.Exit(daemon.main([str(settings)]))
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.callback()(_serve)
+    app.command('entry')(serve_entry)
+    app.command('agent')(serve_agent)
--- a/libs/endivetally/src/endivetally/cli_status.py
+++ b/libs/endivetally/src/endivetally/cli_status.py
@@ -17,10 +17,7 @@
 from endivetally.cli_common import read_token
 from endivetally.status import render_status
 
-app = typer.Typer(add_completion=False)
 
-
-@app.command('status')
 def show_status(
     entry: EntryOption,
     token: TokenOption = '',
@@ -36,3 +33,8 @@
         print_json(status)
     else:
         Console().print(render_status(status))
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to an application."""
+    app.command('status')(show_status)
--- a/libs/endivetally/src/endivetally/status.py
+++ b/libs/endivetally/src/endivetally/status.py
@@ -1,8 +1,10 @@
 """Status of an entry as tables for the terminal."""
 
+from collections.abc import Iterable
+
+from endivetally_core.joining import EntryIdentity
+from endivetally_core.status import AgentStatus
 from endivetally_core.status import EntryStatus
-from endivetally_core.status import ServiceStatus
-from endivetally_core.status import TargetStatus
 from rich.console import Group
 from rich.console import RenderableType
 from rich.table import Table
@@ -11,33 +13,52 @@
 
 def render_status(status: EntryStatus) -> RenderableType:
     """Return the status of an entry for the terminal."""
-    platform = 'answers' if status.platform else 'does not answer'
+    platform = 'answers' if status.platform_available else 'does not answer'
     return Group(
-        Text(f'{status.name} in {status.data_centre}: {status.state}'),
+        Text(f'{status.entry.name} in {status.entry.data_centre}: {status.state}'),
         Text(f'text version {status.version}, table service {platform}'),
-        Text(f'{status.shards} shards, entries: {", ".join(status.entries)}'),
-        _render_services(status.services),
-        _render_targets(status.targets),
+        Text(f'{status.in_progress} requests and bindings in progress'),
+        _render_entries(status.entries),
+        _render_agents(status.agents),
     )
 
 
-def _render_services(services: list[ServiceStatus]) -> Table:
-    table = Table('service', 'waiting', 'running')
-    for service in sorted(services, key=lambda each: each.service):
-        table.add_row(service.service, str(service.waiting), str(service.running))
+def _render_entries(entries: Iterable[EntryIdentity]) -> Table:
+    table = Table('entry', 'data centre', 'address', 'incarnation')
+    for entry in sorted(entries, key=lambda each: each.name):
+        table.add_row(
+            entry.name,
+            entry.data_centre,
+            str(entry.address),
+            entry.incarnation,
+        )
     return table
 
 
-def _render_targets(targets: list[TargetStatus]) -> Table:
-    table = Table('target', 'service', 'data centre', 'rack', 'state', 'slots', 'MB')
-    for target in sorted(targets, key=lambda each: each.agent):
+def _render_agents(agents: Iterable[AgentStatus]) -> Table:
+    table = Table(
+        'agent',
+        'service',
+        'data centre',
+        'rack',
+        'state',
+        'running',
+        'credits',
+    )
+    for agent in sorted(agents, key=lambda each: each.name):
         table.add_row(
-            target.agent,
-            target.service,
-            target.data_centre,
-            target.rack,
-            target.state,
-            f'{target.running}/{target.slots}',
-            str(target.memory_mb),
+            agent.name,
+            agent.service,
+            agent.data_centre,
+            agent.rack,
+            _describe_state(agent),
+            f'{agent.running}/{agent.slots}',
+            str(agent.credits),
         )
     return table
+
+
+def _describe_state(agent: AgentStatus) -> str:
+    if agent.ejected:
+        return f'{agent.state}, ejected'
+    return agent.state if agent.admitted else f'{agent.state}, not admitted'
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -23,27 +23,34 @@
     'teams': [{'name': 'clerks', 'token': 'token-1'}],
 }
 CHANGE = {'version': 3, 'write_id': 'w', 'submitter': 'ann', 'changed_at_s': 0}
-STATUS = {
+IDENTITY = {
     'name': 'entry-1',
     'incarnation': 'entry-1.00',
     'data_centre': 'dc-1',
+    'address': {'host': '127.0.0.1', 'port': 8080},
+}
+STATUS = {
+    'entry': IDENTITY,
     'state': 'open',
     'version': 3,
-    'platform': True,
-    'shards': 64,
-    'entries': [],
-    'services': [{'service': 'lookup', 'waiting': 1, 'running': 2}],
-    'targets': [
+    'agents': [
         {
-            'agent': 'agent-1',
+            'name': 'agent-1',
+            'incarnation': 'agent-1.00',
             'service': 'lookup',
             'data_centre': 'dc-1',
             'rack': 'r1',
             'state': 'open',
             'running': 2,
             'slots': 8,
+            'credits': 1,
+            'admitted': True,
+            'ejected': True,
         },
     ],
+    'entries': [],
+    'in_progress': 0,
+    'platform_available': True,
 }
 BURN = {
     'entry': 'entry-1',
@@ -66,7 +73,7 @@
     def __init__(self):
         self.answers = {
             '/v1/text': (200, {'version': 3, 'text': TEXT}),
-            '/v1/text/history': (200, {'changes': [CHANGE]}),
+            '/v1/text/history': (200, [CHANGE]),
             '/v1/status': (200, STATUS),
             '/v1/burn': (200, BURN),
         }
@@ -238,7 +245,7 @@
         [
             (['config', 'show'], '"lookup"'),
             (['config', 'history'], 'ann'),
-            (['status'], 'agent-1'),
+            (['status'], 'ejected'),
             (['report', 'burn'], 'slow'),
         ],
     )
@@ -252,7 +259,7 @@
         [
             (['config', 'show'], ['version'], 3),
             (['config', 'history'], [0, 'submitter'], 'ann'),
-            (['status'], ['targets', 0, 'slots'], 8),
+            (['status'], ['agents', 0, 'slots'], 8),
             (['report', 'burn'], ['services', 0, 'windows', 0, 'burn_rate'], 2),
         ],
     )
@@ -291,11 +298,11 @@
     def test_other_entries_are_asked(self, entry):
         socket, port = bind_unused_port()
         socket.close()
-        gone = f'127.0.0.1:{port}'
+        gone = {**IDENTITY, 'address': {'host': '127.0.0.1', 'port': port}}
         entry.answers['/v1/status'] = (200, {**STATUS, 'entries': [gone]})
         result = _run('report', 'burn', '--json', '--entry', entry.address)
         assert result.exit_code == 0
-        assert json.loads(result.output)['unreachable'] == [gone]
+        assert json.loads(result.output)['unreachable'] == [f'127.0.0.1:{port}']
 
     def test_page(self, entry, tmp_path):
         page = tmp_path / 'burn.html'
--- a/tests/core/test_burn.py
+++ b/tests/core/test_burn.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 from endivetally_core.burn import BUCKET_S
+from endivetally_core.burn import OK
 from endivetally_core.burn import RING_BUCKETS
 from endivetally_core.burn import SLOW
 from endivetally_core.burn import BurnBucket
@@ -46,16 +47,16 @@
 
 class TestRecord:
     @pytest.mark.parametrize(
-        ('kind', 'seconds', 'good', 'bad'),
+        ('code', 'seconds', 'good', 'bad'),
         [
-            (None, 1, 1, {}),
-            (None, 1.1, 0, {SLOW: 1}),
-            (ErrorKind.OVERLOADED, 0, 0, {'overloaded': 1}),
-            (ErrorKind.TASK_FAILED, 9, 0, {'task_failed': 1}),
+            ('ok', 1, 1, {}),
+            ('ok', 1.1, 0, {SLOW: 1}),
+            ('overloaded', 0, 0, {'overloaded': 1}),
+            ('task_failed', 9, 0, {'task_failed': 1}),
         ],
     )
-    def test_outcomes(self, ring, kind, seconds, good, bad):
-        ring.record('lookup', kind, seconds, _Objective())
+    def test_outcomes(self, ring, code, seconds, good, bad):
+        ring.record('lookup', code, seconds, _Objective())
         assert _buckets(ring) == [BurnBucket(START_S, good, bad)]
 
     @pytest.mark.parametrize(
@@ -67,9 +68,9 @@
         assert not ring.snapshot('entry-1', 3).services
 
     def test_answers_share_a_bucket(self, ring, clock):
-        ring.record('lookup', None, 0, _Objective())
+        ring.record('lookup', OK, 0, _Objective())
         clock.now_s += BUCKET_S - 1
-        ring.record('lookup', None, 0, _Objective())
+        ring.record('lookup', OK, 0, _Objective())
         clock.now_s += 1
         ring.record('lookup', ErrorKind.NO_TARGET, 0, _Objective())
         assert _buckets(ring) == [
@@ -89,7 +90,7 @@
     def test_slots_are_cleared_for_reuse(self, ring, clock):
         ring.record('lookup', ErrorKind.OVERLOADED, 0, _Objective())
         clock.now_s += RING_BUCKETS * BUCKET_S
-        ring.record('lookup', None, 0, _Objective())
+        ring.record('lookup', OK, 0, _Objective())
         assert _buckets(ring) == [BurnBucket(clock.now_s, 1, {})]
 
     def test_snapshot_survives_json(self, ring):
