--- a/libs/endivetally-core/src/endivetally_core/status.py
+++ b/libs/endivetally-core/src/endivetally_core/status.py
@@ -2,30 +2,35 @@
 
 import msgspec
 
-from endivetally_core.joining import EntryIdentity
 
+class TargetStatus(msgspec.Struct, frozen=True):
+    """A target as one entry sees it.
 
-class AgentStatus(msgspec.Struct, frozen=True):
-    """An agent with its target as one entry sees it.
-
-    :param state: ``open``, ``leaving`` or ``closed``.
+    :param agent: name of the agent beside it.
+    :param state: ``open``, ``leaving``, ``closed`` or ``ejected``.
     :param running: tasks at the target, by its last heartbeat.
-    :param credits: start credits that the entry holds.
-    :param admitted: new work may be sent there.
-    :param ejected: left out because its tasks fail.
     """
 
-    name: str
-    incarnation: str
+    agent: str
     service: str
     data_centre: str
     rack: str
     state: str
     running: int
     slots: int
-    credits: int
-    admitted: bool
-    ejected: bool
+    memory_mb: int = 0
+
+
+class ServiceStatus(msgspec.Struct, frozen=True):
+    """Work of one service at one entry.
+
+    :param waiting: tasks that wait for a slot.
+    :param running: tasks sent and not answered.
+    """
+
+    service: str
+    waiting: int
+    running: int
 
 
 class EntryStatus(msgspec.Struct, frozen=True):
@@ -33,15 +38,23 @@
 
     :param state: ``open``, ``leaving`` or why it is not ready.
     :param version: version of the operators' text in force.
-    :param entries: the entries that it knows, itself included.
-    :param in_progress: requests and bindings without an end.
-    :param platform_available: whether the table service answers.
+    :param platform: whether the table service answers.
+    :param shards: shards that the entry owns.
+    :param entries: ``host:port`` of every entry that it knows, itself included.
     """
 
-    entry: EntryIdentity
+    name: str
+    incarnation: str
+    data_centre: str
     state: str
     version: int
-    agents: list[AgentStatus]
-    entries: list[EntryIdentity]
-    in_progress: int
-    platform_available: bool
+    platform: bool
+    shards: int
+    entries: list[str]
+    services: list[ServiceStatus]
+    targets: list[TargetStatus]
+
+    @property
+    def open_targets(self) -> int:
+        """How many targets take work."""
+        return sum(target.state == 'open' for target in self.targets)
--- a/libs/endivetally/src/endivetally/cli_serve.py
+++ b/libs/endivetally/src/endivetally/cli_serve.py
@@ -16,11 +16,15 @@
     typer.Option('--settings', metavar='FILE', help='Settings of the daemon in JSON.'),
 ]
 
+app = typer.Typer(no_args_is_help=True, add_completion=False)
 
+
+@app.callback()
 def _serve() -> None:
     """Run a daemon until SIGTERM, which drains it."""
 
 
+@app.command('entry')
 def serve_entry(settings: SettingsOption) -> None:
     """Run an entry, which takes the requests of callers and operators."""
     with exit_on_errors():
@@ -28,6 +32,7 @@
     raise typer.Exit(importlib.import_module('endivetally_entry').run_entry(loaded))
 
 
+@app.command('agent')
 def serve_agent(settings: SettingsOption) -> None:
     """Run an agent beside a target.
 
@@ -37,10 +42,3 @@
         load_settings(settings, AgentSettings)
     daemon = importlib.import_module('endivetally_agent.__main__')
     raise typer.Exit(daemon.main([str(settings)]))
-
-
-def register(app: typer.Typer) -> None:
-    """Add the command to an application."""
-    app.callback()(_serve)
-    app.command('entry')(serve_entry)
-    app.command('agent')(serve_agent)
