Fit the burn report into 80 columns

Windows and shares of error kinds stand in two tables. Seen on a run of two entries and a table stand-in: the single table broke every cell at 80 columns.

--- a/libs/endivetally/src/endivetally/burn_table.py
+++ b/libs/endivetally/src/endivetally/burn_table.py
@@ -1,5 +1,7 @@
 """Burn report as a table for the terminal."""
 
+from collections.abc import Iterable
+
 from rich.console import Group
 from rich.console import RenderableType
 from rich.table import Table
@@ -15,17 +17,11 @@
 
 def render_table(report: BurnReport) -> RenderableType:
     """Return the report for the terminal."""
-    table = Table(
-        'service',
-        'objective',
-        'budget left',
-        *(f'burn {name_window(window_s)}' for window_s in WINDOWS_S),
-        'alert',
-        'budget spent by',
+    return Group(
+        _render_rates(report.services),
+        _render_spending(report.services),
+        *_render_notes(report),
     )
-    for service in report.services:
-        table.add_row(*_render_cells(service))
-    return Group(table, *_render_notes(report))
 
 
 def name_window(window_s: int) -> str:
@@ -40,7 +36,7 @@
 
 def describe_objective(service: ServiceReport) -> str:
     """Return the objective of a service in words."""
-    return f'{service.availability:.5g} within {service.response_ms} ms'
+    return f'{service.availability * 100:.5g}% in {service.response_ms} ms'
 
 
 def describe_spending(service: ServiceReport) -> str:
@@ -48,19 +44,36 @@
     return ', '.join(f'{kind.kind} {kind.share:.0%}' for kind in service.spent_by)
 
 
-def _render_cells(service: ServiceReport) -> list[RenderableType]:
-    return [
-        service.service,
-        describe_objective(service),
-        f'{service.budget_left:.1%}',
-        *(f'{window.burn_rate:.2f}' for window in service.windows),
-        Text(service.alert.value, _ALERT_STYLES[service.alert]),
-        describe_spending(service),
-    ]
+def _render_rates(services: Iterable[ServiceReport]) -> Table:
+    windows = [name_window(window_s) for window_s in WINDOWS_S]
+    table = Table('service', 'objective', 'left', *windows, 'alert')
+    for service in services:
+        table.add_row(
+            service.service,
+            describe_objective(service),
+            f'{service.budget_left:.0%}',
+            *(f'{window.burn_rate:.3g}' for window in service.windows),
+            Text(service.alert.value, _ALERT_STYLES[service.alert]),
+        )
+    return table
+
+
+def _render_spending(services: Iterable[ServiceReport]) -> Table:
+    table = Table('service', 'budget spent by', 'answers', 'share')
+    for service in services:
+        for kind in service.spent_by:
+            table.add_row(
+                service.service,
+                kind.kind,
+                str(kind.count),
+                f'{kind.share:.0%}',
+            )
+    return table
 
 
 def _render_notes(report: BurnReport) -> list[RenderableType]:
-    notes = [f'entries: {", ".join(report.entries)}']
+    notes = ['left: error budget of 6 h that is left; 5 min to 6 h: burn rates']
+    notes.append(f'entries: {", ".join(report.entries)}')
     if report.unreachable:
         notes.append(f'without: {", ".join(report.unreachable)}')
     if not report.services:
