--- a/libs/endivetally-config/src/endivetally_config/dependencies.py
+++ b/libs/endivetally-config/src/endivetally_config/dependencies.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from endivetally_config.exceptions import Fault
+from endivetally_config.exceptions import quote
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +25,8 @@
     :param services: parsed services by their index in the text.
     """
     dependencies = list(_read_dependencies(services))
-    names = {service.get('name') for service in services.values()}
+    declared = [service.get('name') for service in services.values()]
+    names = {name for name in declared if isinstance(name, str)}
     first_paths: dict[tuple[str, str], str] = {}
     faults = []
     for dependency in dependencies:
@@ -33,7 +35,7 @@
         if first_path != dependency.path:
             faults.append(Fault(dependency.path, f'the same as {first_path}'))
         elif dependency.needed not in names:
-            message = f'unknown service {dependency.needed}'
+            message = f'unknown service {quote(dependency.needed)}'
             faults.append(Fault(dependency.path, message))
     return faults + _find_cycle_faults(dependencies)
 
@@ -93,5 +95,5 @@
 
 def _describe(cycle: tuple[str, ...]) -> str:
     if len(cycle) == 2:
-        return f'{cycle[0]} depends on itself'
-    return f'cycle {" -> ".join(cycle)}'
+        return f'{quote(cycle[0])} depends on itself'
+    return f'cycle {" -> ".join(map(quote, cycle))}'
--- a/libs/endivetally-config/src/endivetally_config/exceptions.py
+++ b/libs/endivetally-config/src/endivetally_config/exceptions.py
@@ -1,11 +1,15 @@
 """Exceptions of documents that fail their check."""
 
+import json
 from dataclasses import dataclass
+from typing import Final
 
 from endivetally_core.errors import EndivetallyError
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
 
+MAX_QUOTED_LENGTH: Final = 80
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -64,5 +68,18 @@
         self.winner = winner
 
 
+def quote(name: str) -> str:
+    r"""Return a name that is safe to print, unlike what a document may hold.
+
+    >>> quote('citation-lookup')
+    'citation-lookup'
+    >>> quote('a b\n')
+    '"a b\\n"'
+    """
+    if name.isascii() and name.isprintable() and ' ' not in name:
+        return name[:MAX_QUOTED_LENGTH]
+    return json.dumps(name[:MAX_QUOTED_LENGTH])
+
+
 def _list_faults(heading: str, faults: tuple[Fault, ...]) -> str:
     return '\n'.join((f'{heading}:', *(f'  {fault}' for fault in faults)))
--- a/libs/endivetally-config/src/endivetally_config/store.py
+++ b/libs/endivetally-config/src/endivetally_config/store.py
@@ -29,6 +29,7 @@
 TEXT_KEY: Final = 'text'
 HISTORY_PREFIX: Final = 'text-history/'
 HISTORY_VERSIONS: Final = 1000
+MAX_SUBMITTER_LENGTH: Final = 128
 SETTLE_PAUSES_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8)
 
 _WRITE_ID_BYTES = 8
@@ -153,7 +154,12 @@
 
 
 def _puts(stored: StoredText, submitter: str) -> tuple[Put, ...]:
-    change = TextChange(stored.version, stored.write_id, submitter, time.time())
+    change = TextChange(
+        stored.version,
+        stored.write_id,
+        submitter[:MAX_SUBMITTER_LENGTH],
+        time.time(),
+    )
     puts = (
         Put(TEXT_KEY, msgspec.json.encode(stored)),
         Put(_history_key(stored.version), msgspec.json.encode(change)),
--- a/libs/endivetally-config/src/endivetally_config/structure.py
+++ b/libs/endivetally-config/src/endivetally_config/structure.py
@@ -10,9 +10,11 @@
 import msgspec
 
 from endivetally_config.exceptions import Fault
+from endivetally_config.exceptions import quote
 
 MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
 
+MAX_MESSAGE_LENGTH: Final = 200
 ROOT_PATH: Final = '$'
 
 
@@ -55,11 +57,14 @@
 
 
 def _load_json(encoded: bytes) -> object:
-    return json.loads(
+    parsed: object = json.loads(
         encoded.decode(),
         object_pairs_hook=_build_object,
         parse_constant=_refuse_constant,
     )
+    # An escaped lone surrogate parses but can not be encoded again.
+    json.dumps(parsed, ensure_ascii=False).encode()
+    return parsed
 
 
 def _build_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
@@ -68,7 +73,7 @@
         names = [name for name, _ in pairs]
         repeated = {name for name in names if names.count(name) > 1}
         raise _MalformedDocument(
-            f'an object repeats the field {", ".join(sorted(repeated))}',
+            f'an object repeats the field {", ".join(map(quote, sorted(repeated)))}',
         )
     return fields
 
@@ -87,7 +92,9 @@
     fields = msgspec.structs.fields(expected)
     known = {field.encode_name for field in fields}
     faults = [
-        Fault(f'{path}.{name}', 'unknown field') for name in parsed if name not in known
+        Fault(f'{path}.{quote(name)}', 'unknown field')
+        for name in parsed
+        if name not in known
     ]
     for field in fields:
         field_path = f'{path}.{field.encode_name}'
@@ -123,5 +130,7 @@
 
 
 def _sentence(error: msgspec.ValidationError) -> str:
-    message = str(error).replace('`', '')
+    message = str(error).replace('`', '')[:MAX_MESSAGE_LENGTH]
+    if not message.isprintable():
+        message = message.encode('unicode_escape').decode()
     return message[:1].lower() + message[1:]
--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -105,6 +105,7 @@
             ),
             (('services', 2, 'name'), 'a/b', '$.services[2].name', 'regex'),
             (('services', 2, 'name'), 'a\n', '$.services[2].name', 'regex'),
+            (('services', 2, 'name'), [], '$.services[2].name', 'expected str'),
             (('services', 2, 'name'), None, '$.services[2].name', 'expected str'),
             (
                 ('services', 0, 'objective'),
@@ -218,6 +219,23 @@
             '$.teams[1].token',
         }
 
+    @pytest.mark.parametrize('name', ['a b', '\x1b[2J', '\ud800', 'é', 'x' * 9000])
+    @pytest.mark.parametrize(
+        'path',
+        [
+            ('services', 0, 'name'),
+            ('services', 0, 'kind'),
+            ('services', 1, 'depends_on', 0),
+            ('teams', 0, 'token'),
+        ],
+    )
+    def test_faults_are_safe_to_print(self, name, path):
+        text = _changed(TEXT, {path: name, (name,): name})
+        with pytest.raises(TextInvalid) as caught:
+            check_text(json.dumps(text).encode())
+        assert '\x1b' not in caught.value.detail
+        assert len(caught.value.detail.encode()) < 1000
+
     def test_limits_are_allowed(self):
         text = {'services': _services(200), 'teams': _teams(400)}
         assert len(check_text(json.dumps(text).encode()).teams) == 400
--- a/tests/config/test_keeper.py
+++ b/tests/config/test_keeper.py
@@ -161,6 +161,11 @@
         assert len(changes) == HISTORY_VERSIONS
         assert changes[-1].version == HISTORY_VERSIONS + 3
 
+    async def test_submitter_is_bounded(self, keeper, table):
+        await keeper.submit(table, _text(), 0, 'a' * 10_000)
+        (change,) = await keeper.history(table)
+        assert len(change.submitter) == 128
+
     async def test_invalid_text_is_not_written(self, keeper, table):
         with pytest.raises(TextInvalid):
             await keeper.submit(table, b'{}', 0, 'ann')
