--- a/libs/endivetally/src/endivetally/cli_serve.py
+++ b/libs/endivetally/src/endivetally/cli_serve.py
@@ -29,7 +29,7 @@
     """Run an entry, which takes the requests of callers and operators."""
     with exit_on_errors():
         loaded = load_settings(settings, EntrySettings)
-    importlib.import_module('endivetally_entry').run_entry(loaded)
+    raise typer.Exit(importlib.import_module('endivetally_entry').run_entry(loaded))
 
 
 @app.command('agent')
@@ -39,5 +39,6 @@
     ``python -m endivetally_agent FILE`` does the same in less memory.
     """
     with exit_on_errors():
-        loaded = load_settings(settings, AgentSettings)
-    importlib.import_module('endivetally_agent').run_agent(loaded)
+        load_settings(settings, AgentSettings)
+    daemon = importlib.import_module('endivetally_agent.__main__')
+    raise typer.Exit(daemon.main([str(settings)]))
