Let entries hand shards to new entries while both run

Cause: the first entry claimed all 64 shards and a later one got none, since joining takes only shards without a live owner; status showed 64 and 0. Ruled out: fencing the owner to move shards, which would end its requests. Former owners are recalled at agents only once the table says that they have ended.

--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -165,11 +165,13 @@
     """Entry to entry and entry to agent: heartbeat.
 
     :param state: ``open`` or ``leaving``.
-    :param usage: tasks started per team in the last interval.
+    :param usage: tasks asked for per team and second.
+    :param map_version: version of the shard map that the sender knows.
     """
 
     state: Identifier
     usage: dict[Identifier, float] = {}
+    map_version: Sequence = 0
 
 
 class AgentNews(Message, frozen=True, tag='agent_news'):
@@ -182,6 +184,9 @@
     """Entry to entry: handle a caller's request at the owner of its key.
 
     :param tasks: payload of each task; a single request has one.
+    :param cancel: stop the request in place of running it.
+    :param former: answer as an owner that has handed the key over: only from
+        memory, never with a new run.
     """
 
     forward_id: Sequence
@@ -191,6 +196,7 @@
     tasks: list[bytes]
     deadline_ms: Count
     cancel: bool = False
+    former: bool = False
 
 
 class Forwarded(Message, frozen=True, tag='forwarded'):
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -212,7 +212,13 @@
             self.identity.incarnation,
             self.roster,
         )
-        self.recovery = Recovery(self.table, self.roster)
+        self.registry = EntryRegistry(self.table)
+        self.recovery = Recovery(
+            self.table,
+            self.registry,
+            self.roster,
+            self.settings.key_retention_s,
+        )
         self.journal = Journal(self.table, self.identity)
         self.stack.callback(self.journal.close)
         self.agent_links = AgentLinks(
@@ -227,12 +233,16 @@
 
     def _wire_keys(self) -> None:
         sequences = itertools.count(1)
-        self.registry = EntryRegistry(self.table)
         self.directory = ShardDirectory(
             self.table,
             retention_s=self.settings.key_retention_s,
         )
-        self.ownership = Ownership(self.identity, self.directory, self.recovery)
+        self.ownership = Ownership(
+            self.identity,
+            self.directory,
+            self.recovery,
+            self.journal,
+        )
         self.ledger = KeyLedger(self.settings.key_retention_s)
         self.peering = Peering(self)
         self.entry_links = EntryLinks(
@@ -245,6 +255,7 @@
         self.entry_links.attach(self.forwards)
         self.keyed = KeyedRequests(
             self.identity.incarnation,
+            self.ownership,
             self.ledger,
             self.journal,
             self.recovery,
--- a/libs/endivetally-entry/src/endivetally_entry/forwards.py
+++ b/libs/endivetally-entry/src/endivetally_entry/forwards.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from endivetally_core.errors import EndivetallyError
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import LinkClosed
 from endivetally_core.messages import Forward
@@ -18,9 +19,14 @@
     from endivetally_core.links import Link
 
 MISDIRECTED_STATUS = 421
+NEVER_STARTED_STATUS = 410
 CODE_HEADER = 'X-Code'
 
 
+class NeverStarted(EndivetallyError):
+    """The former owner refused the request; nothing of it ever starts there."""
+
+
 class Forwards:
     """Pending forwards by number, and the links that carry them.
 
@@ -38,13 +44,16 @@
         request: CallerRequest,
         *,
         cancel: bool = False,
+        former: bool = False,
     ) -> Answer:
         """Let the owner answer a request.
 
         :param cancel: the request names a job to stop.
+        :param former: ask an owner that has handed the key over.
         :raises LinkClosed: when there is no link, or it ended; the owner may
             have received the request.
         :raises OwnershipMoved: when the other entry does not own the key.
+        :raises NeverStarted: when a former owner had refused it.
         """
         link = self._find_link(owner)
         if link is None:
@@ -62,6 +71,7 @@
                 list(request.tasks),
                 max(int((request.deadline - loop.time()) * 1000), 0),
                 cancel,
+                former,
             ),
         )
         try:
@@ -77,6 +87,9 @@
         if message.status == MISDIRECTED_STATUS:
             future.set_exception(OwnershipMoved(str(message.forward_id)))
             return
+        if message.status == NEVER_STARTED_STATUS:
+            future.set_exception(NeverStarted(str(message.forward_id)))
+            return
         headers = dict(message.headers)
         code = headers.pop(CODE_HEADER, '')
         kind = ErrorKind(code) if code else None
@@ -96,6 +109,11 @@
     return Forwarded(forward_id, answer.status, headers, answer.body)
 
 
+def never_started(forward_id: int) -> Forwarded:
+    """Build the message that says that nothing of the request ever starts."""
+    return Forwarded(forward_id, NEVER_STARTED_STATUS, {}, b'')
+
+
 def misdirected(forward_id: int) -> Forwarded:
     """Build the message that says that this entry does not own the key."""
     return Forwarded(forward_id, MISDIRECTED_STATUS, {}, b'')
--- a/libs/endivetally-entry/src/endivetally_entry/front.py
+++ b/libs/endivetally-entry/src/endivetally_entry/front.py
@@ -12,6 +12,7 @@
 
 from endivetally_entry.executions import Execution
 from endivetally_entry.executions import OwnershipMoved
+from endivetally_entry.forwards import NeverStarted
 from endivetally_entry.requests import Answer
 from endivetally_entry.requests import CallerRequest
 from endivetally_entry.requests import whole_answer
@@ -88,12 +89,22 @@
         :raises OwnershipMoved: when this entry does not own it and never did.
         :raises RequestError: when there is no whole answer.
         """
-        owner = self._ownership.owner_of(request.name)
-        remembered = self._ledger.get(request.name) is not None
-        if owner != self._incarnation and not remembered:
+        if not self._ownership.owns(request.name):
             raise OwnershipMoved(request.key)
         return await self._answer_as_owner(request, cancel=cancel)
 
+    async def answer_as_former_owner(self, request: CallerRequest) -> Answer:
+        """Answer from memory for the owner that this entry handed the key to.
+
+        :raises NeverStarted: when it was refused here and never started.
+        :raises OwnershipMoved: when this entry knows nothing of it.
+        """
+        if self._ledger.get(request.name) is not None:
+            return await self._keyed.answer(request)
+        if self._ledger.has_refused(request.name):
+            raise NeverStarted(request.key)
+        raise OwnershipMoved(request.key)
+
     async def _answer_idempotent(self, request: CallerRequest) -> Answer:
         now = asyncio.get_running_loop().time()
         self._admission.check(
@@ -141,6 +152,8 @@
                 ran=RunState.UNKNOWN,
             )
         if owner == self._incarnation:
+            if not self._ownership.owns(request.name):
+                raise OwnershipMoved(request.key)
             return await self._answer_as_owner(request, cancel=cancel)
         return await self._forwards.send(owner, request, cancel=cancel)
 
@@ -160,10 +173,12 @@
         return await self._keyed.answer(request)
 
     async def _ask_former_owner(self, request: CallerRequest) -> Answer | None:
-        """Ask a former owner that has left but still finishes its requests."""
+        """Ask former owners that still run and may finish the request."""
         for prior in reversed(self._recovery.former_requests(request.name)):
             try:
-                return await self._forwards.send(prior.owner, request)
+                return await self._forwards.send(prior.owner, request, former=True)
+            except NeverStarted:
+                self._recovery.settle(request.name, prior.owner)
             except (LinkClosed, OwnershipMoved):
                 continue
         return None
--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -29,6 +29,7 @@
     from endivetally_entry.dispatching import Dispatcher
     from endivetally_entry.ledger import KeyLedger
     from endivetally_entry.ledger import KeyRecord
+    from endivetally_entry.ownership import Ownership
     from endivetally_entry.recovery import Recovery
 
 _log = logging.getLogger(__name__)
@@ -45,6 +46,7 @@
     def __init__(
         self,
         incarnation: str,
+        ownership: 'Ownership',
         ledger: 'KeyLedger',
         journal: 'Journal',
         recovery: 'Recovery',
@@ -55,6 +57,7 @@
         sequences: Iterator[int],
     ) -> None:
         self._incarnation = incarnation
+        self._ownership = ownership
         self._ledger = ledger
         self._journal = journal
         self._recovery = recovery
@@ -174,6 +177,10 @@
             tasks=len(request.tasks),
             written_at=time.time(),
         )
+        # No await between this check and the journal: a release waits for
+        # what the journal has taken in.
+        if not self._ownership.owns(request.name):
+            raise OwnershipMoved(request.key)
         try:
             await self._journal.record(entry)
         except Fenced as error:
--- a/libs/endivetally-entry/src/endivetally_entry/ledger.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -41,6 +41,7 @@
     def __init__(self, retention_s: float) -> None:
         self._retention_s = retention_s
         self._records: dict[KeyName, KeyRecord] = {}
+        self._never_started: dict[KeyName, float] = {}
 
     @property
     def in_progress(self) -> int:
@@ -81,6 +82,8 @@
         record.execution = None
         if not remember:
             self._records.pop(record.name, None)
+            if record.journalled:
+                self._never_started[record.name] = record.finished_at
         if not record.answer.done():
             record.answer.set_result(answer)
 
@@ -91,6 +94,10 @@
         if not record.answer.done():
             record.answer.set_exception(error)
 
+    def has_refused(self, name: KeyName) -> bool:
+        """Return whether a journalled request was refused before any start."""
+        return name in self._never_started
+
     def prune(self) -> None:
         """Forget answers past the retention."""
         oldest = asyncio.get_running_loop().time() - self._retention_s
@@ -101,3 +108,8 @@
         ]
         for name in expired:
             self._records.pop(name)
+        self._never_started = {
+            refused: refused_at
+            for refused, refused_at in self._never_started.items()
+            if refused_at >= oldest
+        }
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -132,11 +132,26 @@
         entry = self._entry
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
-        await self._connect_entries()
+        live = await entry.registry.live()
+        for identity in live:
+            entry.entry_links.connect(identity)
+        if entry.state == 'open' and entry.journal.available:
+            await self._rebalance()
         former = {owner.incarnation for owner in entry.directory.shard_map.former}
         if entry.identity.incarnation in former and entry.state == 'open':
             self._fenced()
 
+    async def _rebalance(self) -> None:
+        """Release shards that belong to another linked entry."""
+        entry = self._entry
+        linked = [
+            known.identity.incarnation
+            for known in entry.entry_links.entries
+            if known.link is not None and known.state == 'open'
+        ]
+        if await entry.ownership.release_misplaced(linked):
+            entry.peering.broadcast_state()
+
     async def _tick_forever(self) -> None:
         loop = asyncio.get_running_loop()
         last_tick = loop.time()
@@ -170,8 +185,7 @@
         entry = self._entry
         entry.quotas.tick(now)
         entry.admission.set_entries(len(entry.known_identities()))
-        heartbeat = EntryState(entry.state, entry.quotas.demand)
-        entry.entry_links.broadcast(heartbeat)
+        entry.peering.broadcast_state()
         entry.roster.broadcast(EntryState(entry.state))
         entry.ledger.prune()
 
@@ -185,7 +199,7 @@
         entry = self._entry
         entry.state = 'leaving'
         await self._hand_over()
-        entry.entry_links.broadcast(EntryState('leaving'))
+        entry.peering.broadcast_state()
         entry.roster.broadcast(EntryState('leaving'))
         await asyncio.sleep(BALANCER_GRACE_S)
         deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
--- a/libs/endivetally-entry/src/endivetally_entry/ownership.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ownership.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from endivetally_core.joining import EntryIdentity
     from endivetally_table.directory import ShardDirectory
+    from endivetally_table.journal import Journal
 
     from endivetally_entry.recovery import Recovery
     from endivetally_entry.requests import KeyName
@@ -33,10 +34,13 @@
         identity: 'EntryIdentity',
         directory: 'ShardDirectory',
         recovery: 'Recovery',
+        journal: 'Journal',
     ) -> None:
         self._identity = identity
         self._directory = directory
         self._recovery = recovery
+        self._journal = journal
+        self._releasing: frozenset[int] = frozenset()
         self._changed = asyncio.Condition()
 
     async def start(self) -> None:
@@ -82,6 +86,34 @@
         shard = shard_of(name.team, name.key, SHARD_COUNT)
         return self._directory.owner_of(shard) or None
 
+    def owns(self, name: 'KeyName') -> bool:
+        """Return whether this entry owns a key and is not releasing it."""
+        shard = shard_of(name.team, name.key, SHARD_COUNT)
+        owner = self._directory.owner_of(shard)
+        return owner == self._identity.incarnation and shard not in self._releasing
+
+    async def release_misplaced(self, linked: list[str]) -> int:
+        """Hand shards to the entries that they belong to by rendezvous.
+
+        Stops admitting their keys and waits for the journal first, so that the
+        new owner finds the whole history.
+
+        :param linked: incarnations of the other open entries.
+        :returns: number of shards released.
+        :raises TableUnavailable: when the table does not answer.
+        """
+        own = self._identity.incarnation
+        moves = self._directory.shard_map.misplaced(own, [own, *linked])
+        for move in moves:
+            self._releasing = frozenset(move.shards)
+            try:
+                await self._journal.flush()
+                await self._directory.release(self._identity, move.shards, move.to)
+            finally:
+                self._releasing = frozenset()
+            _log.info('shards released', extra={'to': move.to})
+        return sum(len(moved.shards) for moved in moves)
+
     def holds_history(self) -> bool:
         """Return whether the journals of all former owners have been read."""
         return not self._missing_histories()
--- a/libs/endivetally-entry/src/endivetally_entry/peering.py
+++ b/libs/endivetally-entry/src/endivetally_entry/peering.py
@@ -14,8 +14,10 @@
 from endivetally_core.messages import Forwarded
 
 from endivetally_entry.executions import OwnershipMoved
+from endivetally_entry.forwards import NeverStarted
 from endivetally_entry.forwards import forwarded_answer
 from endivetally_entry.forwards import misdirected
+from endivetally_entry.forwards import never_started
 from endivetally_entry.requests import Answer
 from endivetally_entry.requests import CallerRequest
 from endivetally_entry.requests import error_answer
@@ -36,6 +38,13 @@
     def __init__(self, entry: 'Entry') -> None:
         self._entry = entry
 
+    def broadcast_state(self) -> None:
+        """Tell every linked entry the state, the quota demand and the map."""
+        entry = self._entry
+        version = entry.directory.shard_map.version
+        state = EntryState(entry.state, entry.quotas.demand, version)
+        entry.entry_links.broadcast(state)
+
     def message_received(self, known: 'KnownEntry', message: AnyMessage) -> None:
         """Handle one message."""
         match message:
@@ -54,7 +63,7 @@
         entry = self._entry
         now = asyncio.get_running_loop().time()
         entry.quotas.report(known.identity.incarnation, message.usage, now)
-        if message.state == 'leaving':
+        if message.map_version > entry.directory.shard_map.version:
             entry.spawn(self._refresh_map())
 
     async def _refresh_map(self) -> None:
@@ -68,6 +77,8 @@
             answer = await self._run_forward(message)
         except OwnershipMoved:
             reply = misdirected(message.forward_id)
+        except NeverStarted:
+            reply = never_started(message.forward_id)
         except RequestError as error:
             reply = forwarded_answer(message.forward_id, error_answer(error))
         else:
@@ -91,4 +102,6 @@
             weight=1 if team is None else team.weight,
         )
         front = self._entry.front
+        if message.former:
+            return await front.answer_as_former_owner(request)
         return await front.answer_forwarded(request, cancel=message.cancel)
--- a/libs/endivetally-entry/src/endivetally_entry/recovery.py
+++ b/libs/endivetally-entry/src/endivetally_entry/recovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import RunState
+from endivetally_core.errors import TableUnavailable
 from endivetally_core.identifiers import shard_of
 from endivetally_core.messages import Fence
 from endivetally_core.messages import Outcome
@@ -24,6 +26,7 @@
 from endivetally_entry.requests import KeyName
 
 if TYPE_CHECKING:
+    from endivetally_table.entries import EntryRegistry
     from endivetally_table.table import Table
 
     from endivetally_entry.roster import AgentRoster
@@ -38,6 +41,7 @@
     """A request in the journal of a former owner.
 
     :param agents: incarnations of the agents that it may have used.
+    :param written_at: wall time in seconds since the epoch.
     """
 
     name: KeyName
@@ -45,6 +49,7 @@
     sequence: int
     body_hash: bytes
     agents: frozenset[str]
+    written_at: float
 
 
 @dataclass(slots=True)
@@ -77,11 +82,21 @@
 class Recovery:
     """History of former owners, and the recall of what their requests did.
 
-    :param retention_s: keys of older journal entries are forgotten.
+    :param registry: tells which former owners have ended.
+    :param retention_s: older journal entries are not read.
     """
 
-    def __init__(self, table: 'Table', roster: 'AgentRoster') -> None:
+    def __init__(
+        self,
+        table: 'Table',
+        registry: 'EntryRegistry',
+        roster: 'AgentRoster',
+        retention_s: float,
+    ) -> None:
         self._table = table
+        self._registry = registry
+        self._retention_s = retention_s
+        self._ended: set[str] = set()
         self._roster = roster
         self._former: dict[KeyName, list[FormerRequest]] = {}
         self._read: dict[str, frozenset[int]] = {}
@@ -105,7 +120,10 @@
         """
         batches = await read_journal(self._table, owner)
         unread = self.unread(owner, shards)
+        oldest = time.time() - self._retention_s
         for former in _former_requests(owner, batches):
+            if former.written_at < oldest:
+                continue
             if shard_of(former.name.team, former.name.key, SHARD_COUNT) in unread:
                 self._former.setdefault(former.name, []).append(former)
         self._read[owner] = self._read.get(owner, frozenset()) | shards
@@ -115,6 +133,15 @@
         """Return what former owners journalled for a key, oldest first."""
         return self._former.get(name, [])
 
+    def settle(self, name: KeyName, owner: str) -> None:
+        """Drop what a former owner says never started and never will."""
+        former = self._former.get(name, [])
+        remaining = [prior for prior in former if prior.owner != owner]
+        if remaining:
+            self._former[name] = remaining
+        else:
+            self._former.pop(name, None)
+
     async def results_of_former_owners(
         self,
         request: CallerRequest,
@@ -134,6 +161,7 @@
             raise RequestError(ErrorKind.KEY_CONFLICT)
         findings = _Findings()
         for prior in former:
+            await self._check_ended(prior.owner)
             await self._recall_everywhere(prior, findings)
         await self._wait_for_running(findings, request.deadline)
         self._check(findings, request)
@@ -153,6 +181,24 @@
         findings.add(outcome)
         return True
 
+    async def _check_ended(self, owner: str) -> None:
+        """Make sure that no live owner is fenced at the agents.
+
+        :raises RequestError: when the table says that it lives, or is down.
+        """
+        if owner in self._ended:
+            return
+        try:
+            live = await self._registry.live()
+        except TableUnavailable as error:
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, 'table is down') from error
+        if any(identity.incarnation == owner for identity in live):
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                'a former owner of the key does not answer',
+            )
+        self._ended.add(owner)
+
     async def _recall_everywhere(
         self,
         prior: FormerRequest,
@@ -225,7 +271,14 @@
         for entry in reversed(batch.entries):
             name = KeyName(entry.team, entry.service, entry.key)
             former.append(
-                FormerRequest(name, owner, entry.sequence, entry.body_hash, agents),
+                FormerRequest(
+                    name,
+                    owner,
+                    entry.sequence,
+                    entry.body_hash,
+                    agents,
+                    entry.written_at,
+                ),
             )
         added_later |= frozenset(batch.agents_added)
     return former
