--- a/libs/endivetally-standins/src/endivetally_standins/table_service.py
+++ b/libs/endivetally-standins/src/endivetally_standins/table_service.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's table service over HTTP, with faults.
 
 Calls: ``POST /commit`` with a `Transaction`, ``GET /row?key=``,
-``GET /scan?prefix=``, ``GET /stats``, ``POST /faults`` with `TableFaults`.
+``GET /scan?prefix=&after=&limit=``, ``GET /stats``, ``POST /faults`` with
+`TableFaults`.
 Bodies are MessagePack, or JSON with the type ``application/json``.
 """
 
@@ -113,8 +114,16 @@
 
     async def get(self) -> None:
         """Answer the rows with a prefix, in key order."""
+        limit = self.get_query_argument('limit', None)
         try:
-            rows = await self.table.scan(self.get_query_argument('prefix'))
+            rows = await self.table.scan(
+                self.get_query_argument('prefix'),
+                after=self.get_query_argument('after', ''),
+                limit=None if limit is None else int(limit),
+            )
+        except ValueError as error:
+            self.fail(_BAD_REQUEST, str(error))
+            return
         except TableUnavailable as error:
             self.fail(_UNAVAILABLE, str(error))
             return
--- a/libs/endivetally-table/src/endivetally_table/__init__.py
+++ b/libs/endivetally-table/src/endivetally_table/__init__.py
@@ -2,13 +2,15 @@
 
 from endivetally_table.batches import JournalBatch
 from endivetally_table.batches import JournalEntry
-from endivetally_table.batches import agents_in_use
 from endivetally_table.batches import delete_journal
+from endivetally_table.batches import iterate_journal
 from endivetally_table.batches import read_journal
 from endivetally_table.directory import ShardDirectory
 from endivetally_table.directory import TakeoverOutcome
 from endivetally_table.entries import EntryRegistry
 from endivetally_table.entries import EntryRow
+from endivetally_table.history import JournalHistory
+from endivetally_table.history import agents_in_use
 from endivetally_table.http import HttpTable
 from endivetally_table.journal import Journal
 from endivetally_table.shards import SHARD_COUNT
@@ -29,6 +31,7 @@
     'Journal',
     'JournalBatch',
     'JournalEntry',
+    'JournalHistory',
     'Put',
     'Row',
     'ShardDirectory',
@@ -39,5 +42,6 @@
     'Transaction',
     'agents_in_use',
     'delete_journal',
+    'iterate_journal',
     'read_journal',
 )
--- a/libs/endivetally-table/src/endivetally_table/batches.py
+++ b/libs/endivetally-table/src/endivetally_table/batches.py
@@ -1,6 +1,6 @@
 """Records of the journal and how they are read."""
 
-from collections.abc import Sequence as Ordered
+from collections.abc import AsyncIterator
 from typing import Final
 
 import msgspec
@@ -14,6 +14,7 @@
 
 JOURNAL_PREFIX: Final = 'journal/'
 MAX_DELETIONS: Final = 128
+PAGE_ROWS: Final = 512
 
 
 class JournalEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -74,12 +75,30 @@
     return _decoder.decode(row.content)
 
 
+async def iterate_journal(
+    table: Table, incarnation: str
+) -> AsyncIterator[JournalBatch]:
+    """Yield the batches of an entry in the order of their numbers, by pages.
+
+    :raises TableUnavailable: when the service does not answer.
+    """
+    prefix = journal_prefix(incarnation)
+    after = ''
+    while True:
+        rows = await table.scan(prefix, after=after, limit=PAGE_ROWS)
+        for row in rows:
+            yield decode_batch(row)
+        if len(rows) < PAGE_ROWS:
+            return
+        after = rows[-1].key
+
+
 async def read_journal(table: Table, incarnation: str) -> list[JournalBatch]:
     """Return the batches of an entry in the order of their numbers.
 
     :raises TableUnavailable: when the service does not answer.
     """
-    return [decode_batch(row) for row in await table.scan(journal_prefix(incarnation))]
+    return [batch async for batch in iterate_journal(table, incarnation)]
 
 
 async def delete_journal(table: Table, incarnation: str) -> int:
@@ -88,27 +107,10 @@
     :return: number of rows deleted.
     :raises TableUnavailable: when the service does not answer; call again.
     """
-    rows = await table.scan(journal_prefix(incarnation))
-    for start in range(0, len(rows), MAX_DELETIONS):
-        deletions = tuple(
-            Put(row.key, None) for row in rows[start : start + MAX_DELETIONS]
-        )
+    prefix = journal_prefix(incarnation)
+    deleted = 0
+    while rows := await table.scan(prefix, limit=MAX_DELETIONS):
+        deletions = tuple(Put(row.key, None) for row in rows)
         await table.commit(Transaction((), deletions))
-    return len(rows)
-
-
-def agents_in_use(batches: Ordered[JournalBatch], sequence: int) -> frozenset[str]:
-    """Return the agents that may have been given tasks of a request.
-
-    These are the agents admitted at its batch and all that were added later.
-    Agents removed by its own batch count too. A sequence that is not in the
-    journal has none.
-    """
-    admitted: set[str] = set()
-    found = False
-    for batch in batches:
-        found = found or any(entry.sequence == sequence for entry in batch.entries)
-        if not found:
-            admitted.difference_update(batch.agents_removed)
-        admitted.update(batch.agents_added)
-    return frozenset(admitted) if found else frozenset()
+        deleted += len(rows)
+    return deleted
--- a/libs/endivetally-table/src/endivetally_table/http.py
+++ b/libs/endivetally-table/src/endivetally_table/http.py
@@ -60,9 +60,12 @@
             raise TableUnavailable(str(error)) from error
         return _decode(_row_decoder, body)
 
-    async def scan(self, prefix: str) -> list[Row]:
+    async def scan(
+        self, prefix: str, *, after: str = '', limit: int | None = None
+    ) -> list[Row]:
         """Return the rows whose key starts with the prefix, in key order."""
-        query = urlencode({'prefix': prefix})
+        bound = {} if limit is None else {'limit': limit}
+        query = urlencode({'prefix': prefix, 'after': after, **bound})
         request = self._request(f'/scan?{query}', timeout_s=SCAN_TIMEOUT_S)
         try:
             body = await self._fetch(request)
--- a/libs/endivetally-table/src/endivetally_table/memory.py
+++ b/libs/endivetally-table/src/endivetally_table/memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from bisect import bisect_left
+from bisect import bisect_right
 from bisect import insort
 from typing import Final
 
@@ -87,12 +88,16 @@
         self.stats.reads += 1
         return self._rows.get(key)
 
-    async def scan(self, prefix: str) -> list[Row]:
+    async def scan(
+        self, prefix: str, *, after: str = '', limit: int | None = None
+    ) -> list[Row]:
         """Return the rows whose key starts with the prefix, in key order."""
         await self._delay(self._read_ms)
         self.stats.reads += 1
-        first = bisect_left(self._keys, prefix)
+        first = max(bisect_left(self._keys, prefix), bisect_right(self._keys, after))
         last = bisect_left(self._keys, prefix + _LAST_CHARACTER, first)
+        if limit is not None:
+            last = min(last, first + limit)
         return [self._rows[key] for key in self._keys[first:last]]
 
     async def commit(self, transaction: Transaction) -> None:
--- a/libs/endivetally-table/src/endivetally_table/table.py
+++ b/libs/endivetally-table/src/endivetally_table/table.py
@@ -52,9 +52,13 @@
         """
 
     @abstractmethod
-    async def scan(self, prefix: str) -> list[Row]:
+    async def scan(
+        self, prefix: str, *, after: str = '', limit: int | None = None
+    ) -> list[Row]:
         """Return the rows whose key starts with the prefix, in key order.
 
+        :param after: only rows whose key is greater.
+        :param limit: at most so many rows.
         :raises TableUnavailable: when the service does not answer.
         """
 
--- a/tests/standins/test_table_service.py
+++ b/tests/standins/test_table_service.py
@@ -57,6 +57,12 @@
         assert await table.read('a/2') is None
         assert await table.scan('a/') == [Row('a/1', b'x', 1)]
 
+    async def test_scan_by_pages(self, table):
+        keys = [f'a/{number}' for number in range(5)]
+        await table.commit(Transaction((), tuple(Put(key, b'') for key in keys)))
+        pages = [await table.scan('a/', after=key, limit=2) for key in ('', 'a/1')]
+        assert [[row.key for row in page] for page in pages] == [keys[:2], keys[2:4]]
+
     async def test_conflict_writes_nothing(self, table):
         await table.commit(CREATE)
         with pytest.raises(TableConflict):
--- a/tests/table/test_interleavings.py
+++ b/tests/table/test_interleavings.py
@@ -7,10 +7,10 @@
 from endivetally_core.joining import Address
 from endivetally_core.joining import EntryIdentity
 from endivetally_table.batches import JournalEntry
-from endivetally_table.batches import agents_in_use
 from endivetally_table.batches import read_journal
 from endivetally_table.directory import ShardDirectory
 from endivetally_table.entries import EntryRegistry
+from endivetally_table.history import agents_in_use
 from endivetally_table.journal import Journal
 from endivetally_table.memory import MemoryTable
 from hypothesis import settings
--- a/tests/table/test_journal.py
+++ b/tests/table/test_journal.py
@@ -11,11 +11,13 @@
 from endivetally_core.joining import EntryIdentity
 from endivetally_table.batches import JournalBatch
 from endivetally_table.batches import JournalEntry
-from endivetally_table.batches import agents_in_use
 from endivetally_table.batches import delete_journal
+from endivetally_table.batches import iterate_journal
 from endivetally_table.batches import read_journal
 from endivetally_table.directory import ShardDirectory
 from endivetally_table.entries import EntryRegistry
+from endivetally_table.history import JournalHistory
+from endivetally_table.history import agents_in_use
 from endivetally_table.journal import Journal
 from endivetally_table.memory import MemoryTable
 
@@ -224,6 +226,19 @@
         assert agents_in_use(batches, sequence) == agents
 
 
+class TestHistory:
+    async def test_finds_all_requests_of_a_key_across_pages(self, table, journal):
+        for sequence in range(600):
+            key = f'k{sequence % 300}'
+            row = JournalEntry(sequence, 'team', 'sweep', key, b'', 1, 0)
+            await journal.record(row)
+        batches = iterate_journal(table, ALPHA.incarnation)
+        history = await JournalHistory.read(batches, lambda row: row.key == 'k7')
+        assert [row.sequence for row in history.find('team', 'k7')] == [7, 307]
+        assert history.find('other', 'k7') == ()
+        assert len(list(history.entries)) == 2
+
+
 class TestPrune:
     async def test_keeps_agents_and_young_entries(self, table, journal):
         await journal.admit_agents(frozenset({'a', 'b'}))
