--- a/libs/endivetally-entry/src/endivetally_entry/recovery.py
+++ b/libs/endivetally-entry/src/endivetally_entry/recovery.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -18,8 +19,9 @@
 from endivetally_core.messages import Recall
 from endivetally_core.messages import Recalled
 from endivetally_core.messages import TaskName
-from endivetally_table.batches import JournalBatch
-from endivetally_table.batches import read_journal
+from endivetally_table.batches import JournalEntry
+from endivetally_table.batches import iterate_journal
+from endivetally_table.history import JournalHistory
 from endivetally_table.shards import SHARD_COUNT
 
 from endivetally_entry.requests import CallerRequest
@@ -41,15 +43,12 @@
     """A request in the journal of a former owner.
 
     :param agents: incarnations of the agents that it may have used.
-    :param written_at: wall time in seconds since the epoch.
     """
 
-    name: KeyName
     owner: str
     sequence: int
     body_hash: bytes
     agents: frozenset[str]
-    written_at: float
 
 
 @dataclass(slots=True)
@@ -98,17 +97,13 @@
         self._retention_s = retention_s
         self._ended: set[str] = set()
         self._roster = roster
-        self._former: dict[KeyName, list[FormerRequest]] = {}
+        self._histories: dict[str, list[JournalHistory]] = {}
+        self._settled: set[tuple[KeyName, str]] = set()
         self._read: dict[str, frozenset[int]] = {}
         self._recall_ids = itertools.count(1)
         self._recalls: dict[int, asyncio.Future[Recalled]] = {}
         self._late: dict[TaskName, _Findings] = {}
 
-    @property
-    def remembered(self) -> int:
-        """Keys in the history of former owners."""
-        return len(self._former)
-
     def unread(self, owner: str, shards: frozenset[int]) -> frozenset[int]:
         """Return the shards whose history at a former owner is not known here."""
         return shards - self._read.get(owner, frozenset())
@@ -118,29 +113,29 @@
 
         :raises TableUnavailable: when the table does not answer.
         """
-        batches = await read_journal(self._table, owner)
         unread = self.unread(owner, shards)
         oldest = time.time() - self._retention_s
-        for former in _former_requests(owner, batches):
-            if former.written_at < oldest:
-                continue
-            if shard_of(former.name.team, former.name.key, SHARD_COUNT) in unread:
-                self._former.setdefault(former.name, []).append(former)
+        history = await JournalHistory.read(
+            iterate_journal(self._table, owner),
+            lambda entry: entry.written_at >= oldest and _shard_of(entry) in unread,
+        )
+        self._histories.setdefault(owner, []).append(history)
         self._read[owner] = self._read.get(owner, frozenset()) | shards
-        _log.info('journal read', extra={'owner': owner, 'batches': len(batches)})
+        _log.info('journal read', extra={'owner': owner})
 
     def former_requests(self, name: KeyName) -> list[FormerRequest]:
-        """Return what former owners journalled for a key, oldest first."""
-        return self._former.get(name, [])
+        """Return what former owners journalled for a key, by owner."""
+        former: list[FormerRequest] = []
+        for owner, histories in self._histories.items():
+            if (name, owner) in self._settled:
+                continue
+            for history in histories:
+                former.extend(_find(history, owner, name))
+        return former
 
     def settle(self, name: KeyName, owner: str) -> None:
         """Drop what a former owner says never started and never will."""
-        former = self._former.get(name, [])
-        remaining = [prior for prior in former if prior.owner != owner]
-        if remaining:
-            self._former[name] = remaining
-        else:
-            self._former.pop(name, None)
+        self._settled.add((name, owner))
 
     async def results_of_former_owners(
         self,
@@ -257,39 +252,16 @@
             )
 
 
-def _former_requests(owner: str, batches: list[JournalBatch]) -> list[FormerRequest]:
-    """Return the requests of a journal, newest first.
+def _find(
+    history: JournalHistory,
+    owner: str,
+    name: KeyName,
+) -> Iterator[FormerRequest]:
+    for entry in history.find(name.team, name.key):
+        if entry.service == name.service:
+            agents = history.agents_in_use(entry.sequence)
+            yield FormerRequest(owner, entry.sequence, entry.body_hash, agents)
 
-    Walks backwards, so that the agents added after a request are known when it
-    is reached; those admitted before it are added from a forward walk.
-    """
-    former: list[FormerRequest] = []
-    added_later: frozenset[str] = frozenset()
-    admitted = _admitted_before(batches)
-    for batch, before in zip(reversed(batches), reversed(admitted), strict=True):
-        agents = before | added_later | frozenset(batch.agents_added)
-        for entry in reversed(batch.entries):
-            name = KeyName(entry.team, entry.service, entry.key)
-            former.append(
-                FormerRequest(
-                    name,
-                    owner,
-                    entry.sequence,
-                    entry.body_hash,
-                    agents,
-                    entry.written_at,
-                ),
-            )
-        added_later |= frozenset(batch.agents_added)
-    return former
-
-
-def _admitted_before(batches: list[JournalBatch]) -> list[frozenset[str]]:
-    """Return the agents admitted when each batch was written."""
-    admitted: list[frozenset[str]] = []
-    current: frozenset[str] = frozenset()
-    for batch in batches:
-        admitted.append(current)
-        current -= frozenset(batch.agents_removed)
-        current |= frozenset(batch.agents_added)
-    return admitted
+
+def _shard_of(entry: JournalEntry) -> int:
+    return shard_of(entry.team, entry.key, SHARD_COUNT)
