--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -17,6 +17,7 @@
 
 from endivetally_entry.entry import Entry
 from endivetally_entry.entry_links import Succession
+from endivetally_entry.housekeeping import Housekeeping
 
 if TYPE_CHECKING:
     from endivetally_config.settings import EntrySettings
@@ -28,7 +29,6 @@
 ACKNOWLEDGE_INTERVAL_S: Final = 10
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
-PRUNE_INTERVAL_S: Final = 30
 START_RETRY_S: Final = 0.5
 DRAIN_POLL_S: Final = 0.05
 BALANCER_GRACE_S: Final = 1
@@ -51,6 +51,11 @@
             entry.entry_links,
             entry.ownership.take_over,
         )
+        self._housekeeping = Housekeeping(
+            entry.journal,
+            entry.directory,
+            entry.settings.key_retention_s,
+        )
         self._exit_code = EXIT_OK
 
     async def run(self) -> int:
@@ -61,6 +66,7 @@
             entry.spawn(entry.dispatcher.run())
             entry.spawn(self._join_until_done())
             entry.spawn(self._tick_forever())
+            entry.spawn(self._housekeeping.run())
             self._write_ready_file()
             await self._stopping.wait()
             await self._drain()
