--- /dev/null
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -0,0 +1,250 @@
+"""The agent: wires its parts and owns them."""
+
+import asyncio
+import logging
+import signal
+from contextlib import AsyncExitStack
+from contextlib import closing
+from contextlib import suppress
+from pathlib import Path
+from typing import Final
+from typing import Self
+
+from endivetally_config.settings import AgentSettings
+from endivetally_core.identifiers import new_incarnation
+from endivetally_core.identifiers import rank_by_rendezvous
+from endivetally_core.joining import AgentIdentity
+from endivetally_core.joining import Announcement
+from endivetally_core.joining import EntryIdentity
+from endivetally_core.links import LinkCounters
+from endivetally_core.links import NngLink
+from endivetally_core.links import dial
+from endivetally_core.shaping import RuleShaper
+from endivetally_table.table import Table
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from endivetally_agent.counters import AgentCounters
+from endivetally_agent.gate import Gate
+from endivetally_agent.gate import GateState
+from endivetally_agent.metrics import render
+from endivetally_agent.peers import EntryConnector
+from endivetally_agent.peers import EntryPeers
+from endivetally_agent.records import StartRecords
+from endivetally_agent.registry import LinkRegistry
+from endivetally_agent.reports import AgentReport
+from endivetally_agent.runner import TargetRunner
+from endivetally_agent.server import AgentFacade
+from endivetally_agent.server import make_application
+from endivetally_agent.session import EntrySession
+from endivetally_agent.tasks import TaskManager
+from endivetally_agent.texts import TextStore
+
+logger: Final = logging.getLogger(__name__)
+
+WATCHERS: Final = 3
+HEARTBEAT_S: Final = 1
+LEASE_CHECK_S: Final = 0.1
+TRIM_S: Final = 5
+ENTRY_SILENCE_S: Final = 4
+LINGER_S: Final = 0.2
+DRAIN_CHECK_S: Final = 0.05
+
+
+class Agent(AgentFacade, EntryConnector):
+    """One agent beside one target.
+
+    :param table: the platform's table service; none relies on the seeds.
+    """
+
+    def __init__(self, settings: AgentSettings, table: Table | None = None) -> None:
+        self.incarnation = new_incarnation(settings.name)
+        self.port = 0
+        self._settings = settings
+        self._stack = AsyncExitStack()
+        self._counters = AgentCounters()
+        self._link_counters = LinkCounters()
+        self._shaper = RuleShaper() if settings.allow_shaping else None
+        self._texts = TextStore()
+        self._links = LinkRegistry()
+        self._records = StartRecords(
+            settings.result_retention_s, settings.result_memory_mb
+        )
+        self._gate = Gate(self._records)
+        self._runner = TargetRunner()
+        self._tasks = TaskManager(self._gate, self._runner, self._links, self._counters)
+        self._peers = EntryPeers(settings, self, table, self._counters)
+
+    async def __aenter__(self) -> Self:
+        """Listen and start to search for entries."""
+        async with AsyncExitStack() as stack:
+            stack.callback(self._runner.close)
+            stack.push_async_callback(self._peers.close)
+            stack.callback(self._links.close_all)
+            await self._listen(stack)
+            for loop in (self._peers.run, self._watch_lease, self._beat, self._trim):
+                self._start_loop(stack, asyncio.ensure_future(loop()))
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Release all that the agent owns."""
+        await self._stack.aclose()
+
+    def identity(self) -> AgentIdentity | None:
+        """Return the agent's identity; none before the first announcement."""
+        announcement = self._gate.announcement
+        if announcement is None:
+            return None
+        return AgentIdentity(
+            name=self._settings.name,
+            incarnation=self.incarnation,
+            data_centre=self._settings.data_centre,
+            rack=self._settings.rack,
+            service=announcement.service,
+            slots=min(announcement.slots, announcement.connections),
+            connections=announcement.connections,
+            memory_mb=announcement.memory_mb,
+        )
+
+    def is_linked(self, entry: str) -> bool:
+        """Whether a link to this incarnation is up."""
+        return entry in self._links
+
+    def note_fenced(self, entry: str) -> None:
+        """Take in that an incarnation is fenced."""
+        if not self._gate.is_fenced(entry):
+            self._tasks.fence(entry)
+
+    async def serve(self, entry: EntryIdentity, address: str) -> None:
+        """Dial a link and serve it until it ends."""
+        socket = await dial(address)
+        link = NngLink(
+            socket,
+            peer=entry.name,
+            data_centre=entry.data_centre,
+            version=lambda: self._texts.version,
+            counters=self._link_counters,
+            shaper=self._shaper,
+        )
+        with closing(link):
+            await self._serve(entry, link)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take in an announcement of the target."""
+        before = self.identity()
+        self._tasks.refresh()
+        self._gate.announce(announcement)
+        self._runner.configure(announcement)
+        self._tasks.usage.observe_memory(
+            announcement.used_memory_mb, self._gate.running
+        )
+        self._tasks.refresh()
+        if before is not None and before != self.identity():
+            logger.info('target changed', extra={'service': announcement.service})
+            self._links.close_all()
+
+    def unready(self) -> str:
+        """Return why the agent can't take work, or ''."""
+        state = self._gate.state
+        if state is not GateState.OPEN:
+            return state.value
+        return '' if self._links.entries else 'no_entry'
+
+    def metrics(self) -> str:
+        """Return the metrics in Prometheus text format."""
+        report = AgentReport(
+            self._gate,
+            self._records,
+            self._tasks,
+            self._counters,
+            self._link_counters,
+        )
+        return render(report.list_metrics())
+
+    async def drain(self) -> None:
+        """Refuse new work, finish what runs, deliver results, then return."""
+        logger.info('draining')
+        self._gate.drain()
+        self._tasks.refresh()
+        await self._tasks.wait_for_tasks()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._wait_for_acknowledgements(), self._settings.drain_timeout_s
+            )
+        await self._links.flush()
+        await asyncio.sleep(LINGER_S)
+        logger.info('drained')
+
+    async def _serve(self, entry: EntryIdentity, link: NngLink) -> None:
+        session = EntrySession(
+            entry.incarnation,
+            link,
+            gate=self._gate,
+            tasks=self._tasks,
+            links=self._links,
+            texts=self._texts,
+            counters=self._link_counters,
+        )
+        await session.serve()
+
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        listen = self._settings.listen
+        sockets = bind_sockets(listen.port, listen.host)
+        server = HTTPServer(make_application(self, self._shaper))
+        server.add_sockets(sockets)
+        stack.push_async_callback(server.close_all_connections)
+        stack.callback(server.stop)
+        self.port = sockets[0].getsockname()[1]
+        if self._settings.ready_file:
+            _write_atomically(self._settings.ready_file, f'{listen.host}:{self.port}')
+
+    def _start_loop(self, stack: AsyncExitStack, loop: 'asyncio.Future[None]') -> None:
+        stack.push_async_callback(_end_loop, loop)
+
+    async def _watch_lease(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            self._tasks.refresh()
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            ranked = rank_by_rendezvous(self._settings.name, self._links.entries)
+            for watcher in ranked[:WATCHERS]:
+                self._links.post(watcher, self._tasks.state)
+
+    async def _trim(self) -> None:
+        while True:
+            await asyncio.sleep(TRIM_S)
+            self._records.trim()
+
+    async def _wait_for_acknowledgements(self) -> None:
+        while self._gate.has_unsettled():
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+
+async def run_agent(settings: AgentSettings, table: Table | None = None) -> None:
+    """Run an agent until SIGTERM or SIGINT, then drain it.
+
+    :param table: the platform's table service; none relies on the seeds.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopped.set)
+    async with Agent(settings, table) as agent:
+        await stopped.wait()
+        await agent.drain()
+
+
+async def _end_loop(loop: 'asyncio.Future[None]') -> None:
+    loop.cancel()
+    with suppress(asyncio.CancelledError):
+        await loop
+
+
+def _write_atomically(path: str, text: str) -> None:
+    temporary = Path(f'{path}.tmp')
+    temporary.write_text(text)
+    temporary.replace(path)
--- /dev/null
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -0,0 +1,191 @@
+"""Finds entries, joins them and keeps one link to each."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+from abc import ABC
+from abc import abstractmethod
+from typing import Final
+
+import msgspec
+from endivetally_config.settings import AgentSettings
+from endivetally_core.errors import LinkClosed
+from endivetally_core.errors import TableUnavailable
+from endivetally_core.joining import Address
+from endivetally_core.joining import AgentIdentity
+from endivetally_core.joining import EntryIdentity
+from endivetally_core.joining import JoinAnswer
+from endivetally_core.joining import JoinRequest
+from endivetally_table.table import Table
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from endivetally_agent.counters import AgentCounters
+from endivetally_agent.rows import scan_entries
+
+logger: Final = logging.getLogger(__name__)
+
+BACKOFF_MIN_S: Final = 0.05
+BACKOFF_MAX_S: Final = 2
+FORGET_AFTER_S: Final = 60
+SCAN_INTERVAL_S: Final = 10
+SCAN_RETRY_S: Final = 0.5
+JOIN_TIMEOUT_S: Final = 3
+MAX_JOINS: Final = 16
+
+
+class EntryConnector(ABC):
+    """What the search for entries needs from its agent."""
+
+    @abstractmethod
+    def identity(self) -> AgentIdentity | None:
+        """Return the agent's identity; none before the first announcement."""
+
+    @abstractmethod
+    def is_linked(self, entry: str) -> bool:
+        """Whether a link to this incarnation is up."""
+
+    @abstractmethod
+    def note_fenced(self, entry: str) -> None:
+        """Take in that an incarnation is fenced."""
+
+    @abstractmethod
+    async def serve(self, entry: EntryIdentity, address: str) -> None:
+        """Dial a link and serve it until it ends.
+
+        :raises LinkClosed: when it can't be dialled.
+        """
+
+
+class Backoff:
+    """Exponential backoff with full jitter."""
+
+    def __init__(self) -> None:
+        self._limit_s = BACKOFF_MIN_S
+
+    def reset(self) -> None:
+        """Start again with the shortest wait."""
+        self._limit_s = BACKOFF_MIN_S
+
+    async def wait(self) -> None:
+        """Sleep, and double the limit of the next sleep."""
+        await asyncio.sleep(random.uniform(self._limit_s / 2, self._limit_s))
+        self._limit_s = min(self._limit_s * 2, BACKOFF_MAX_S)
+
+
+class EntryPeers:
+    """Known entries by address, with a task for each.
+
+    :param table: read for the rows of entries.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        connector: EntryConnector,
+        table: Table | None,
+        counters: AgentCounters,
+    ) -> None:
+        self._settings = settings
+        self._connector = connector
+        self._table = table
+        self._counters = counters
+        self._known: dict[Address, asyncio.Task[None]] = {}
+        self._closing = False
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_JOINS)
+
+    @property
+    def known(self) -> int:
+        """Number of entries that are linked or tried."""
+        return len(self._known)
+
+    async def run(self) -> None:
+        """Search for entries for ever."""
+        while True:
+            if self._connector.identity() is None:
+                await asyncio.sleep(BACKOFF_MIN_S)
+                continue
+            await self._search()
+            interval_s = SCAN_INTERVAL_S if self._known else SCAN_RETRY_S
+            await asyncio.sleep(interval_s * random.uniform(0.75, 1.25))
+
+    async def close(self) -> None:
+        """End all tasks and release the connections."""
+        # A receiving pynng socket turns a cancellation into a closed link.
+        self._closing = True
+        tasks = list(self._known.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._client.close()
+
+    def learn(self, address: Address) -> None:
+        """Keep a link to the entry at this address from now on."""
+        if address not in self._known:
+            task = asyncio.get_running_loop().create_task(self._keep(address))
+            self._known[address] = task
+
+    async def _search(self) -> None:
+        if self._table is not None:
+            await self._scan(self._table)
+        if not self._known:
+            for seed in self._settings.seeds:
+                self.learn(seed)
+
+    async def _scan(self, table: Table) -> None:
+        try:
+            rows = await scan_entries(table)
+        except TableUnavailable:
+            self._counters.table_failures += 1
+            return
+        for row in rows:
+            if row.state == 'live':
+                self.learn(row.identity.address)
+            elif row.state == 'fenced':
+                self._connector.note_fenced(row.identity.incarnation)
+
+    async def _keep(self, address: Address) -> None:
+        backoff = Backoff()
+        reached_s = time.monotonic()
+        while time.monotonic() - reached_s < FORGET_AFTER_S:
+            if await self._join(address):
+                reached_s = time.monotonic()
+                backoff.reset()
+            if self._closing:
+                return
+            await backoff.wait()
+        logger.info('entry forgotten', extra={'address': str(address)})
+        self._known.pop(address, None)
+
+    async def _join(self, address: Address) -> bool:
+        try:
+            answer = await self._introduce(address)
+        except (HTTPClientError, OSError, msgspec.DecodeError):
+            self._counters.join_failures += 1
+            return False
+        self._counters.joins += 1
+        for known in answer.entries:
+            self.learn(known.address)
+        for fenced in answer.fenced:
+            self._connector.note_fenced(fenced)
+        if self._connector.is_linked(answer.entry.incarnation):
+            return False
+        with contextlib.suppress(LinkClosed):
+            await self._connector.serve(answer.entry, answer.link)
+            return True
+        return False
+
+    async def _introduce(self, address: Address) -> JoinAnswer:
+        body = msgspec.json.encode(JoinRequest(agent=self._connector.identity()))
+        request = HTTPRequest(
+            f'http://{address}/internal/join',
+            method='POST',
+            headers={'Content-Type': 'application/json'},
+            body=body,
+            request_timeout=JOIN_TIMEOUT_S,
+        )
+        response = await self._client.fetch(request)
+        return msgspec.json.decode(response.body, type=JoinAnswer)
--- /dev/null
+++ b/libs/endivetally-agent/src/endivetally_agent/records.py
@@ -0,0 +1,246 @@
+"""Start records of bindings, and the results that owners may still ask for.
+
+Records are kept per request. Bodies of results are dropped first, whole records
+later; what is no longer held is remembered per owner as expired, so that an old
+name never starts and never counts as not run.
+"""
+
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+import msgspec
+from endivetally_core.messages import Outcome
+from endivetally_core.messages import TaskName
+
+MAX_BINDINGS: Final = 24_000
+MAX_EXPIRED_PER_OWNER: Final = 10_000
+BYTES_PER_MB: Final = 1024 * 1024
+LOST_ANSWER: Final = 'answer_lost'
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """What this agent knows of one task of a request.
+
+    :param attempt: highest attempt that was seen.
+    :param started: the attempt that started, if one did.
+    :param reason: why ``attempt`` was refused.
+    :param cancelled: no attempt may start any more.
+    :param outcome: how the started attempt ended.
+    :param settled: the owner needs no further copy of the outcome.
+    """
+
+    attempt: int = -1
+    started: int | None = None
+    reason: str = ''
+    cancelled: bool = False
+    outcome: Outcome | None = None
+    settled: bool = False
+
+    @property
+    def running(self) -> bool:
+        """Whether the started attempt has not ended."""
+        return self.started is not None and self.outcome is None
+
+    @property
+    def refused(self) -> bool:
+        """Whether the started attempt was refused by the target itself."""
+        return self.outcome is not None and self.outcome.status == 'refused'
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """What this agent knows of one request.
+
+    :param touched_s: monotonic time of the last change.
+    :param acknowledged: the owner has delivered or kept the whole answer.
+    :param recaller: incarnation of the entry that took the request over.
+    """
+
+    owner: str
+    sequence: int
+    touched_s: float = 0
+    acknowledged: bool = False
+    recaller: str = ''
+    tasks: dict[int, TaskRecord] = field(default_factory=dict)
+
+    @property
+    def running(self) -> bool:
+        """Whether a task of the request runs."""
+        return any(task.running for task in self.tasks.values())
+
+    def name(self, number: int) -> TaskName:
+        """Return the name of the started binding of a task."""
+        return TaskName(
+            self.owner, self.sequence, number, self.tasks[number].started or 0
+        )
+
+
+class ExpiredRequests:
+    """Sequences of one owner whose records were dropped.
+
+    Kept exactly for the latest ones; all below a limit count as expired.
+    """
+
+    def __init__(self) -> None:
+        self._below = 0
+        self._sequences: set[int] = set()
+
+    def __contains__(self, sequence: int) -> bool:
+        """Whether the record of this sequence may have been dropped."""
+        return sequence < self._below or sequence in self._sequences
+
+    def add(self, sequence: int) -> None:
+        """Remember a dropped sequence."""
+        self._sequences.add(sequence)
+        if len(self._sequences) > MAX_EXPIRED_PER_OWNER:
+            self._raise_limit()
+
+    def _raise_limit(self) -> None:
+        ordered = sorted(self._sequences)
+        self._below = ordered[len(ordered) // 2]
+        self._sequences = {kept for kept in ordered if kept >= self._below}
+
+
+class StartRecords:
+    """All records of one agent, within a bound of time and memory.
+
+    :param retention_s: seconds after the last change until a record expires.
+    :param memory_mb: bound of the bodies that are held.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        retention_s: float,
+        memory_mb: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._retention_s = retention_s
+        self._max_body_bytes = memory_mb * BYTES_PER_MB
+        self._clock = clock
+        self._requests: dict[tuple[str, int], RequestRecord] = {}
+        self._expired: dict[str, ExpiredRequests] = {}
+        self._bindings = 0
+        self._body_bytes = 0
+
+    @property
+    def bindings(self) -> int:
+        """Number of tasks with a record."""
+        return self._bindings
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the bodies that are held."""
+        return self._body_bytes
+
+    def expired(self, owner: str, sequence: int) -> bool:
+        """Whether the request may have had a record that was dropped."""
+        if (owner, sequence) in self._requests or owner not in self._expired:
+            return False
+        return sequence in self._expired[owner]
+
+    def find(self, owner: str, sequence: int) -> RequestRecord | None:
+        """Return the record of a request, if there is one."""
+        return self._requests.get((owner, sequence))
+
+    def touch(self, owner: str, sequence: int, number: int) -> TaskRecord:
+        """Return the record of a task, created if need be, as just changed."""
+        request = self._requests.pop((owner, sequence), None)
+        if request is None:
+            request = RequestRecord(owner, sequence)
+        self._requests[owner, sequence] = request
+        request.touched_s = self._clock()
+        if number not in request.tasks:
+            request.tasks[number] = TaskRecord()
+            self._bindings += 1
+        return request.tasks[number]
+
+    def keep(self, outcome: Outcome, *, settled: bool = False) -> None:
+        """Store how a started binding ended.
+
+        :param settled: the owner needs no further copy of the outcome.
+        """
+        name = outcome.name
+        task = self.touch(name.owner, name.sequence, name.number)
+        task.outcome = outcome
+        task.settled = settled
+        self._body_bytes += len(outcome.body)
+        self.trim()
+
+    def requests_of(self, owner: str) -> list[RequestRecord]:
+        """Return the records of one owner's requests."""
+        return [
+            request for request in self._requests.values() if request.owner == owner
+        ]
+
+    def unsettled(self) -> Iterator[RequestRecord]:
+        """Yield requests with an outcome that the owner may still need."""
+        for request in self._requests.values():
+            if not request.acknowledged and _has_unsettled(request):
+                yield request
+
+    def trim(self) -> None:
+        """Drop what is too old or above the bounds, acknowledged requests first."""
+        self._drop_old()
+        if self._body_bytes > self._max_body_bytes:
+            self._drop_bodies(acknowledged_only=True)
+        if self._body_bytes > self._max_body_bytes:
+            self._drop_bodies(acknowledged_only=False)
+        if self._bindings > MAX_BINDINGS:
+            self._drop_surplus(acknowledged_only=True)
+        if self._bindings > MAX_BINDINGS:
+            self._drop_surplus(acknowledged_only=False)
+
+    def _drop_old(self) -> None:
+        limit_s = self._clock() - self._retention_s
+        old: list[RequestRecord] = []
+        for request in self._requests.values():
+            if request.touched_s > limit_s:
+                break
+            old.append(request)
+        for request in old:
+            self._drop(request)
+
+    def _drop_surplus(self, *, acknowledged_only: bool) -> None:
+        for request in list(self._requests.values()):
+            if self._bindings <= MAX_BINDINGS * 3 // 4:
+                return
+            if request.acknowledged or not acknowledged_only:
+                self._drop(request)
+
+    def _drop(self, request: RequestRecord) -> None:
+        if request.running:
+            return
+        self._requests.pop((request.owner, request.sequence))
+        self._bindings -= len(request.tasks)
+        for task in request.tasks.values():
+            self._body_bytes -= len(task.outcome.body) if task.outcome else 0
+        expired = self._expired.setdefault(request.owner, ExpiredRequests())
+        expired.add(request.sequence)
+
+    def _drop_bodies(self, *, acknowledged_only: bool) -> None:
+        for request in self._requests.values():
+            if self._body_bytes <= self._max_body_bytes * 3 // 4:
+                return
+            if request.acknowledged or not acknowledged_only:
+                for task in request.tasks.values():
+                    self._drop_body(task)
+
+    def _drop_body(self, task: TaskRecord) -> None:
+        outcome = task.outcome
+        if outcome is None or not outcome.body:
+            return
+        self._body_bytes -= len(outcome.body)
+        reason = LOST_ANSWER if outcome.status == 'done' else outcome.reason
+        task.outcome = msgspec.structs.replace(outcome, body=b'', reason=reason)
+
+
+def _has_unsettled(request: RequestRecord) -> bool:
+    return any(
+        task.outcome is not None and not task.settled for task in request.tasks.values()
+    )
--- /dev/null
+++ b/libs/endivetally-agent/src/endivetally_agent/session.py
@@ -0,0 +1,137 @@
+"""One link to an entry, from its opening to its end."""
+
+import logging
+from functools import singledispatchmethod
+from typing import Final
+
+from endivetally_core.errors import LinkClosed
+from endivetally_core.errors import MalformedMessage
+from endivetally_core.links import Link
+from endivetally_core.links import LinkCounters
+from endivetally_core.messages import Acknowledge
+from endivetally_core.messages import AnyMessage
+from endivetally_core.messages import Cancel
+from endivetally_core.messages import CreditReturn
+from endivetally_core.messages import Demand
+from endivetally_core.messages import Dispatch
+from endivetally_core.messages import EntryState
+from endivetally_core.messages import Fence
+from endivetally_core.messages import Fenced
+from endivetally_core.messages import Frame
+from endivetally_core.messages import Recall
+from endivetally_core.messages import TextRequest
+from endivetally_core.messages import TextUpdate
+
+from endivetally_agent.gate import Gate
+from endivetally_agent.registry import LinkRegistry
+from endivetally_agent.tasks import TaskManager
+from endivetally_agent.texts import TextStore
+
+logger: Final = logging.getLogger(__name__)
+
+
+class EntrySession:
+    """Serves the messages of one entry.
+
+    :param entry: incarnation of the entry.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        link: Link,
+        *,
+        gate: Gate,
+        tasks: TaskManager,
+        links: LinkRegistry,
+        texts: TextStore,
+        counters: LinkCounters,
+    ) -> None:
+        self._entry = entry
+        self._link = link
+        self._gate = gate
+        self._tasks = tasks
+        self._links = links
+        self._texts = texts
+        self._counters = counters
+
+    async def serve(self) -> None:
+        """Handle frames until the link ends."""
+        self._links.add(self._entry, self._link)
+        logger.info('linked', extra={'entry': self._entry})
+        try:
+            await self._serve()
+        except LinkClosed:
+            logger.info('link ended', extra={'entry': self._entry})
+        finally:
+            self._links.remove(self._entry)
+            self._tasks.send_orders(self._tasks.ledger.detach(self._entry))
+
+    async def _serve(self) -> None:
+        self._link.post(self._tasks.state)
+        if not self._gate.is_fenced(self._entry):
+            self._tasks.send_orders(self._tasks.ledger.attach(self._entry))
+        self._tasks.resend(self._entry)
+        while True:
+            try:
+                frame = await self._link.receive()
+            except MalformedMessage:
+                self._counters.malformed += 1
+            else:
+                self._handle_frame(frame)
+
+    def _handle_frame(self, frame: Frame) -> None:
+        self._links.heard(self._entry)
+        for message in frame.messages:
+            self._handle(message)
+        if self._texts.wants(frame.version):
+            self._link.post(TextRequest())
+
+    @singledispatchmethod
+    def _handle(self, message: AnyMessage) -> None:
+        self._counters.malformed += 1
+
+    @_handle.register
+    def _handle_dispatch(self, message: Dispatch) -> None:
+        self._tasks.dispatch(self._entry, message)
+
+    @_handle.register
+    def _handle_cancel(self, message: Cancel) -> None:
+        self._tasks.cancel(message)
+
+    @_handle.register
+    def _handle_demand(self, message: Demand) -> None:
+        orders = self._tasks.ledger.demand(self._entry, message.waiting)
+        self._tasks.send_orders(orders)
+
+    @_handle.register
+    def _handle_credit_return(self, message: CreditReturn) -> None:
+        orders = self._tasks.ledger.give_back(self._entry, message.credits)
+        self._tasks.send_orders(orders)
+
+    @_handle.register
+    def _handle_fence(self, message: Fence) -> None:
+        self._tasks.fence(message.owner)
+        self._link.post(Fenced(message.owner))
+
+    @_handle.register
+    def _handle_recall(self, message: Recall) -> None:
+        self._tasks.recall(self._entry, message)
+
+    @_handle.register
+    def _handle_acknowledge(self, message: Acknowledge) -> None:
+        self._gate.acknowledge(message.owner, message.sequences)
+
+    @_handle.register
+    def _handle_entry_state(self, message: EntryState) -> None:
+        self._links.heard(self._entry, heartbeat=True)
+
+    @_handle.register
+    def _handle_text_request(self, message: TextRequest) -> None:
+        if self._texts.version:
+            self._link.post(self._texts.update)
+
+    @_handle.register
+    def _handle_text_update(self, message: TextUpdate) -> None:
+        if self._texts.accept(message):
+            logger.info('text in force', extra={'version': message.version})
--- /dev/null
+++ b/libs/endivetally-agent/src/endivetally_agent/tasks.py
@@ -0,0 +1,183 @@
+"""Decides on dispatches, runs tasks and reports how they end."""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from typing import Any
+from typing import Final
+
+import msgspec
+from endivetally_core.messages import AgentState
+from endivetally_core.messages import Cancel
+from endivetally_core.messages import Dispatch
+from endivetally_core.messages import Grant
+from endivetally_core.messages import Outcome
+from endivetally_core.messages import Recall
+from endivetally_core.messages import Recalled
+from endivetally_core.messages import Revoke
+from endivetally_core.messages import TaskName
+
+from endivetally_agent.counters import AgentCounters
+from endivetally_agent.gate import Decision
+from endivetally_agent.gate import Gate
+from endivetally_agent.gate import GateState
+from endivetally_agent.gate import Refusal
+from endivetally_agent.gate import Verdict
+from endivetally_agent.registry import LinkRegistry
+from endivetally_agent.runner import TargetRunner
+from endivetally_agent.slots import CreditOrder
+from endivetally_agent.slots import SlotLedger
+from endivetally_agent.usage import UsageEstimate
+
+IDEMPOTENT: Final = 'idempotent'
+
+
+class TaskManager:
+    """Ties the gate, the credits and the target together.
+
+    :param gate: decides what starts.
+    :param runner: client of the target.
+    :param links: links to the entries.
+    """
+
+    def __init__(
+        self,
+        gate: Gate,
+        runner: TargetRunner,
+        links: LinkRegistry,
+        counters: AgentCounters,
+    ) -> None:
+        self.usage = UsageEstimate()
+        self.ledger = SlotLedger()
+        self._gate = gate
+        self._runner = runner
+        self._links = links
+        self._counters = counters
+        self._told = GateState.CLOSED
+        self._jobs: set[asyncio.Task[None]] = set()
+
+    @property
+    def state(self) -> AgentState:
+        """State of the agent as a message, told to all entries first if new."""
+        self.refresh()
+        return self._describe()
+
+    def refresh(self) -> None:
+        """Tell all entries when the state of the gate has changed.
+
+        Called before any decision that depends on the state, so that entries
+        and the ledger see every closing of the gate, however short.
+        """
+        state = self._gate.state
+        if state is not self._told:
+            self._told = state
+            self._links.broadcast(self._describe())
+        self.send_orders(self.ledger.resize(self._gate.slots))
+
+    def send_orders(self, orders: Iterable[CreditOrder]) -> None:
+        """Send credits and revocations."""
+        for order in orders:
+            if order.grant:
+                self._counters.credits['granted'] += order.grant
+                self._links.post(order.entry, Grant(order.grant))
+            if order.revoke:
+                self._counters.credits['revoked'] += order.revoke
+                self._links.post(order.entry, Revoke(order.revoke))
+
+    def dispatch(self, entry: str, dispatch: Dispatch) -> None:
+        """Start a task or refuse it.
+
+        :param entry: the entry at the other end of the link.
+        """
+        self.refresh()
+        decision = self._gate.try_start(dispatch, self.usage.memory_mb)
+        if decision.verdict is Verdict.STARTED:
+            self._start(entry, dispatch)
+        elif decision.reason is None:
+            self._answer_repeated(entry, dispatch.name, decision)
+        else:
+            self._refuse(entry, dispatch, decision.reason)
+
+    def cancel(self, cancel: Cancel) -> None:
+        """Stop bindings of a request, or let them never start."""
+        self._counters.cancellations += len(cancel.numbers)
+        for number in cancel.numbers:
+            name = self._gate.cancel(cancel.owner, cancel.sequence, number)
+            if name is not None:
+                self._spawn(self._runner.cancel(name))
+
+    def fence(self, owner: str) -> None:
+        """Refuse an incarnation for ever and take its credits back."""
+        self._gate.fence(owner)
+        self.send_orders(self.ledger.detach(owner))
+
+    def recall(self, entry: str, recall: Recall) -> None:
+        """Report what a fenced incarnation's request did here."""
+        outcomes = self._gate.recall(recall.owner, recall.sequence, entry)
+        self.send_orders(self.ledger.detach(recall.owner))
+        self._links.post(entry, Recalled(recall.recall_id, outcomes))
+
+    def resend(self, entry: str) -> None:
+        """Send again what an entry may have missed while it had no link."""
+        for outcome in self._gate.unsettled(entry):
+            self._links.post(entry, outcome)
+
+    async def wait_for_tasks(self) -> None:
+        """Wait until nothing runs at the target."""
+        while self._jobs:
+            await asyncio.wait(self._jobs)
+
+    def _describe(self) -> AgentState:
+        announcement = self._gate.announcement
+        return AgentState(
+            state=self._gate.state.value,
+            running=self._gate.running,
+            slots=self._gate.slots,
+            memory_mb=announcement.used_memory_mb if announcement else 0,
+        )
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(job)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+
+    def _start(self, entry: str, dispatch: Dispatch) -> None:
+        self._counters.starts += 1
+        self.send_orders(self.ledger.start(entry, dispatch.waiting))
+        self._spawn(self._run(entry, dispatch))
+
+    async def _run(self, entry: str, dispatch: Dispatch) -> None:
+        outcome = await self._runner.run(dispatch)
+        linked = dispatch.name.owner in self._links
+        self._gate.finish(outcome, settled=linked and dispatch.kind == IDEMPOTENT)
+        self._counters.outcomes[outcome.status] += 1
+        if outcome.status == 'refused':
+            self._gate.close()
+            self.refresh()
+        else:
+            self.usage.observe_run(outcome.run_ms)
+        receiver = self.ledger.finish(entry)
+        self._report(dispatch.name.owner, outcome, receiver)
+        recaller = self._gate.recaller(dispatch.name)
+        if recaller:
+            self._links.post(recaller, outcome)
+
+    def _report(self, entry: str, outcome: Outcome, receiver: str) -> None:
+        if receiver and receiver == entry:
+            outcome = msgspec.structs.replace(outcome, credits=1)
+        elif receiver:
+            self.send_orders([CreditOrder(receiver, grant=1)])
+        self._links.post(entry, outcome)
+
+    def _refuse(self, entry: str, dispatch: Dispatch, reason: Refusal) -> None:
+        self._counters.refusals[reason.value] += 1
+        receiver = self.ledger.refuse(entry, dispatch.waiting)
+        refused = Outcome(dispatch.name, 'refused', reason.value)
+        self._report(entry, refused, receiver)
+
+    def _answer_repeated(self, entry: str, name: TaskName, decision: Decision) -> None:
+        self._counters.duplicates += 1
+        if decision.outcome is not None:
+            self._links.post(entry, decision.outcome)
+        elif decision.verdict is Verdict.EXPIRED:
+            self._links.post(entry, Outcome(name, 'unknown', 'expired'))
--- /dev/null
+++ b/libs/endivetally-standins/src/endivetally_standins/target.py
@@ -0,0 +1,379 @@
+"""Stand-in of a target: announces itself, sleeps for each task, records starts.
+
+``python -m endivetally_standins.target --agent HOST:PORT --service NAME``
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+from contextlib import AsyncExitStack
+from contextlib import suppress
+from dataclasses import dataclass
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+from typing import Final
+from typing import Self
+from typing import TextIO
+
+import msgspec
+from endivetally_core.joining import Announcement
+from tornado.httpclient import HTTPClientError
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+ANNOUNCE_INTERVAL_S: Final = 0.5
+ANNOUNCE_TIMEOUT_S: Final = 1
+IDLE_MEMORY_MB: Final = 512
+MS_PER_S: Final = 1000
+
+
+class TaskPayload(msgspec.Struct, frozen=True):
+    """What a payload may ask of the stand-in; other fields are ignored.
+
+    :param id: written to the record of the start.
+    :param echo: answered as it came.
+    :param fail: end with status 500.
+    :param memory_mb: counted as used while the task runs.
+    """
+
+    run_ms: float = 0
+    echo: Any = None
+    fail: bool = False
+    id: Any = None
+    memory_mb: int = 0
+
+
+class TaskAnswer(msgspec.Struct, frozen=True):
+    """Body of a successful answer."""
+
+    echo: Any
+    task: str
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults in force.
+
+    :param fail_all: answer every task at once with status 500.
+    :param slow_factor: run times are multiplied by this.
+    :param hang: tasks that start never end and announcements stop.
+    """
+
+    fail_all: bool = False
+    slow_factor: float = 1
+    hang: bool = False
+
+
+class StartRecord(msgspec.Struct, frozen=True):
+    """One line of the record file.
+
+    :param time_s: wall time of the start.
+    :param concurrent: tasks that run, this one included.
+    """
+
+    target: str
+    task: str
+    id: Any
+    time_s: float
+    concurrent: int
+
+
+class TargetStats(msgspec.Struct, frozen=True):
+    """Answer of ``GET /stats``."""
+
+    starts: int
+    ended: int
+    cancelled: int
+    running: int
+    max_concurrent: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetOptions:
+    """How a stand-in behaves.
+
+    :param agent: ``host:port`` of its agent.
+    """
+
+    agent: str
+    service: str
+    slots: int = 8
+    connections: int = 64
+    memory_mb: int = 32_768
+
+
+class StandInTarget:
+    """One target on a free loopback port.
+
+    :param record: takes a line for each start, if set.
+    """
+
+    def __init__(self, options: TargetOptions, record: TextIO | None = None) -> None:
+        self.port = 0
+        self._options = options
+        self._record = record
+        self._faults = Faults()
+        self._leaving = False
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._memory_mb = 0
+        self._starts = 0
+        self._ended = 0
+        self._cancelled = 0
+        self._max_concurrent = 0
+        self._stack = AsyncExitStack()
+        self._client = SimpleAsyncHTTPClient(force_instance=True)
+
+    @property
+    def stats(self) -> TargetStats:
+        """Counts since the start."""
+        return TargetStats(
+            self._starts,
+            self._ended,
+            self._cancelled,
+            len(self._tasks),
+            self._max_concurrent,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Listen and begin to announce."""
+        sockets = bind_sockets(0, '127.0.0.1')
+        self.port = sockets[0].getsockname()[1]
+        server = HTTPServer(make_application(self))
+        server.add_sockets(sockets)
+        announcer = asyncio.ensure_future(self._announce_always())
+        self._stack.callback(self._client.close)
+        self._stack.push_async_callback(server.close_all_connections)
+        self._stack.callback(server.stop)
+        self._stack.callback(announcer.cancel)
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Stop announcing and listening."""
+        await self._stack.aclose()
+
+    def inject(self, faults: Faults) -> None:
+        """Put faults in force."""
+        self._faults = faults
+
+    async def run(self, name: str, payload: TaskPayload) -> HTTPStatus:
+        """Run a task and return the status of its answer."""
+        self._starts += 1
+        if self._faults.fail_all:
+            self._write_record(name, payload)
+            return HTTPStatus.INTERNAL_SERVER_ERROR
+        job = asyncio.ensure_future(asyncio.sleep(self._run_s(payload)))
+        self._tasks[name] = job
+        self._max_concurrent = max(self._max_concurrent, len(self._tasks))
+        self._memory_mb += payload.memory_mb
+        self._write_record(name, payload)
+        await asyncio.wait([job])
+        self._tasks.pop(name, None)
+        self._memory_mb -= payload.memory_mb
+        self._ended += 1
+        if job.cancelled():
+            return HTTPStatus.CONFLICT
+        return HTTPStatus.INTERNAL_SERVER_ERROR if payload.fail else HTTPStatus.OK
+
+    def cancel(self, name: str) -> bool:
+        """Stop a task; return whether it ran."""
+        job = self._tasks.get(name)
+        if job is None:
+            return False
+        self._cancelled += 1
+        job.cancel()
+        return True
+
+    async def leave(self) -> None:
+        """Announce that the target leaves, then finish what runs."""
+        self._leaving = True
+        await self.announce()
+        while self._tasks:
+            await asyncio.wait(list(self._tasks.values()))
+            await asyncio.sleep(0)
+
+    async def announce(self) -> None:
+        """Post one announcement; a failed one is repeated by the next."""
+        announcement = Announcement(
+            service=self._options.service,
+            port=self.port,
+            slots=self._options.slots,
+            connections=self._options.connections,
+            memory_mb=self._options.memory_mb,
+            used_memory_mb=IDLE_MEMORY_MB + self._memory_mb,
+            leaving=self._leaving,
+        )
+        with suppress(HTTPClientError, OSError):
+            await self._client.fetch(
+                f'http://{self._options.agent}/announce',
+                method='POST',
+                body=msgspec.json.encode(announcement),
+                request_timeout=ANNOUNCE_TIMEOUT_S,
+            )
+
+    async def _announce_always(self) -> None:
+        while True:
+            if not self._faults.hang:
+                await self.announce()
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _run_s(self, payload: TaskPayload) -> float:
+        if self._faults.hang:
+            return float('inf')
+        return payload.run_ms * self._faults.slow_factor / MS_PER_S
+
+    def _write_record(self, name: str, payload: TaskPayload) -> None:
+        if self._record is None:
+            return
+        line = StartRecord(
+            self._options.agent, name, payload.id, time.time(), len(self._tasks)
+        )
+        self._record.write(f'{msgspec.json.encode(line).decode()}\n')
+        self._record.flush()
+
+
+class _TargetHandler(RequestHandler):
+    def initialize(self, target: StandInTarget) -> None:
+        self.target = target
+
+    def data_received(self, chunk: bytes) -> None:
+        """Bodies are read whole."""
+
+    @property
+    def task_name(self) -> str:
+        return self.request.headers.get('X-Task', '')
+
+
+class RunHandler(_TargetHandler):
+    """``POST /run``."""
+
+    async def post(self) -> None:
+        """Run a task."""
+        payload = decode_payload(self.request.body)
+        status = await self.target.run(self.task_name, payload)
+        self.set_status(status)
+        if status is HTTPStatus.OK:
+            answer = TaskAnswer(payload.echo, self.task_name)
+            self.finish(msgspec.json.encode(answer))
+
+
+class CancelHandler(_TargetHandler):
+    """``POST /cancel``."""
+
+    def post(self) -> None:
+        """Stop a task."""
+        found = self.target.cancel(self.task_name)
+        self.set_status(HTTPStatus.OK if found else HTTPStatus.NOT_FOUND)
+
+
+class StatsHandler(_TargetHandler):
+    """``GET /stats``."""
+
+    def get(self) -> None:
+        """Answer with the counts."""
+        self.finish(msgspec.json.encode(self.target.stats))
+
+
+class FaultsHandler(_TargetHandler):
+    """``POST /faults``."""
+
+    def post(self) -> None:
+        """Put faults in force."""
+        self.target.inject(msgspec.json.decode(self.request.body, type=Faults))
+
+
+def decode_payload(body: bytes) -> TaskPayload:
+    """Decode a payload; one that asks for nothing known runs for no time.
+
+    >>> decode_payload(b'{"run_ms": 5}').run_ms
+    5.0
+    >>> decode_payload(b'not JSON').run_ms
+    0
+    """
+    try:
+        return msgspec.json.decode(body, type=TaskPayload)
+    except msgspec.DecodeError:
+        return TaskPayload()
+
+
+def make_application(target: StandInTarget) -> Application:
+    """Return the HTTP application of a stand-in."""
+    parts = {'target': target}
+    routes: list[Any] = [
+        ('/run', RunHandler, parts),
+        ('/cancel', CancelHandler, parts),
+        ('/stats', StatsHandler, parts),
+        ('/faults', FaultsHandler, parts),
+    ]
+    return Application(routes)
+
+
+async def run_targets(
+    options: list[TargetOptions], record_path: str, ready_path: str
+) -> None:
+    """Run stand-ins until SIGTERM or SIGINT, then let them leave.
+
+    :param ready_path: written with ``host:port`` of each, one a line.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopped.set)
+    async with AsyncExitStack() as stack:
+        record = (
+            stack.enter_context(Path(record_path).open('a')) if record_path else None
+        )
+        targets = [
+            await stack.enter_async_context(StandInTarget(option, record))
+            for option in options
+        ]
+        if ready_path:
+            _write_ready(ready_path, targets)
+        await stopped.wait()
+        await asyncio.gather(*(target.leave() for target in targets))
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S / 2)
+
+
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(prog='endivetally_standins.target')
+    parser.add_argument('--agent', action='append', required=True, metavar='HOST:PORT')
+    parser.add_argument('--count', type=int, default=0, help='defaults to the agents')
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--connections', type=int, default=64)
+    parser.add_argument('--memory-mb', type=int, default=32_768)
+    parser.add_argument('--ready-file', default='')
+    parser.add_argument('--record', default='', help='file, one JSON line a start')
+    return parser.parse_args(arguments)
+
+
+def main(arguments: list[str]) -> None:
+    """Run as many stand-ins as agents are named."""
+    parsed = parse_options(arguments)
+    count = parsed.count or len(parsed.agent)
+    options = [
+        TargetOptions(
+            agent,
+            parsed.service,
+            parsed.slots,
+            parsed.connections,
+            parsed.memory_mb,
+        )
+        for agent in parsed.agent[:count]
+    ]
+    asyncio.run(run_targets(options, parsed.record, parsed.ready_file))
+
+
+def _write_ready(path: str, targets: list[StandInTarget]) -> None:
+    temporary = Path(f'{path}.tmp')
+    temporary.write_text('\n'.join(f'127.0.0.1:{target.port}' for target in targets))
+    temporary.replace(path)
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- /dev/null
+++ b/tests/agent/fake_entry.py
@@ -0,0 +1,128 @@
+"""A fake entry for tests: answers joins and keeps what agents send."""
+
+import asyncio
+
+import msgspec
+from endivetally_core.errors import LinkClosed
+from endivetally_core.identifiers import new_incarnation
+from endivetally_core.joining import Address
+from endivetally_core.joining import EntryIdentity
+from endivetally_core.joining import JoinAnswer
+from endivetally_core.joining import JoinRequest
+from endivetally_core.links import LinkCounters
+from endivetally_core.links import LinkListener
+from endivetally_core.links import NngLink
+from endivetally_core.messages import Dispatch
+from endivetally_core.messages import TaskName
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+
+class JoinHandler(RequestHandler):
+    def initialize(self, entry):
+        self.entry = entry
+
+    def post(self):
+        self.finish(self.entry.answer_join(self.request.body))
+
+
+class FakeEntry:
+    """Accepts one link at a time and collects the messages."""
+
+    def __init__(self, name='entry-1', fenced=()):
+        self.name = name
+        self.fenced = list(fenced)
+        self.version = 0
+        self.joins = []
+        self.messages = []
+        self.link = None
+        self._changed = asyncio.Event()
+        self._tasks = set()
+
+    async def __aenter__(self):
+        sockets = bind_sockets(0, '127.0.0.1')
+        self.address = Address('127.0.0.1', sockets[0].getsockname()[1])
+        self.identity = EntryIdentity(
+            self.name, new_incarnation(self.name), 'dc-1', self.address
+        )
+        routes = [('/internal/join', JoinHandler, {'entry': self})]
+        self._server = HTTPServer(Application(routes))
+        self._server.add_sockets(sockets)
+        return self
+
+    async def __aexit__(self, *_exception):
+        self._server.stop()
+        await self._server.close_all_connections()
+        if self.link is not None:
+            self.link.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def answer_join(self, body):
+        self.joins.append(msgspec.json.decode(body, type=JoinRequest).agent)
+        listener = LinkListener('127.0.0.1')
+        task = asyncio.ensure_future(self._serve(listener))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        answer = JoinAnswer(
+            listener.address, self.identity, [self.identity], self.fenced
+        )
+        return msgspec.json.encode(answer)
+
+    async def _serve(self, listener):
+        socket = await listener.accept()
+        self.link = NngLink(
+            socket,
+            peer='agent',
+            data_centre='dc-1',
+            version=lambda: self.version,
+            counters=LinkCounters(),
+        )
+        self._changed.set()
+        while True:
+            try:
+                frame = await self.link.receive()
+            except LinkClosed:
+                return
+            self.messages.extend(frame.messages)
+            self._changed.set()
+
+    async def linked(self):
+        await self._until(lambda: self.link is not None and not self.link.closed)
+
+    async def wait_for(self, kind, accept=lambda _message: True):
+        """Wait for a message of a kind, remove it and return it."""
+        found = []
+
+        def search():
+            found[:] = [
+                message
+                for message in self.messages
+                if isinstance(message, kind) and accept(message)
+            ]
+            return bool(found)
+
+        await self._until(search)
+        self.messages.remove(found[0])
+        return found[0]
+
+    def dispatch(self, sequence, payload, number=0, attempt=0, **fields):
+        name = TaskName(self.identity.incarnation, sequence, number, attempt)
+        values = {'kind': 'idempotent', 'deadline_ms': 5000} | fields
+        self.link.post(
+            Dispatch(
+                name,
+                values.pop('service', 'lookups'),
+                payload=msgspec.json.encode(payload),
+                **values,
+            )
+        )
+        return name
+
+    async def _until(self, condition):
+        async with asyncio.timeout(20):
+            while not condition():
+                self._changed.clear()
+                await self._changed.wait()
--- /dev/null
+++ b/tests/agent/test_agent.py
@@ -0,0 +1,226 @@
+"""Tests of the agent against a fake entry and a stand-in target."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+from endivetally_agent.agent import Agent
+from endivetally_config.settings import AgentSettings
+from endivetally_core.joining import Address
+from endivetally_core.messages import Acknowledge
+from endivetally_core.messages import AgentState
+from endivetally_core.messages import Cancel
+from endivetally_core.messages import Fence
+from endivetally_core.messages import Fenced
+from endivetally_core.messages import Grant
+from endivetally_core.messages import Outcome
+from endivetally_core.messages import Recall
+from endivetally_core.messages import Recalled
+from endivetally_core.messages import TextRequest
+from endivetally_core.messages import TextUpdate
+from endivetally_standins.target import Faults
+from endivetally_standins.target import StandInTarget
+from endivetally_standins.target import TargetOptions
+
+from .fake_entry import FakeEntry
+
+
+def _settings(*seeds, **fields):
+    return AgentSettings(
+        name='agent-1',
+        data_centre='dc-1',
+        rack='rack-1',
+        listen=Address('127.0.0.1', 0),
+        table=Address('127.0.0.1', 1),
+        seeds=seeds,
+        **fields,
+    )
+
+
+@asynccontextmanager
+async def _deployment(**fields):
+    """Yield an entry, an agent and a target that are linked and open."""
+    async with FakeEntry() as entry, Agent(_settings(entry.address, **fields)) as agent:
+        options = TargetOptions(f'127.0.0.1:{agent.port}', 'lookups')
+        async with StandInTarget(options) as target:
+            await entry.linked()
+            await entry.wait_for(Grant)
+            yield entry, agent, target
+
+
+def _outcome_of(name):
+    return lambda outcome: outcome.name == name
+
+
+class TestRunning:
+    async def test_a_dispatch_is_run_and_answered(self):
+        async with _deployment() as (entry, _agent, target):
+            name = entry.dispatch(1, {'run_ms': 5, 'echo': 'ruling'})
+            outcome = await entry.wait_for(Outcome)
+        assert outcome.name == name
+        assert outcome.status == 'done'
+        assert outcome.credits == 1
+        assert msgspec.json.decode(outcome.body)['echo'] == 'ruling'
+        assert target.stats.starts == 1
+
+    async def test_all_slots_are_granted_to_a_single_entry(self):
+        async with FakeEntry() as entry, Agent(_settings(entry.address)) as agent:
+            options = TargetOptions(f'127.0.0.1:{agent.port}', 'lookups')
+            async with StandInTarget(options):
+                assert await entry.wait_for(Grant) == Grant(8)
+
+    @pytest.mark.parametrize(
+        ('payload', 'fields', 'status', 'reason'),
+        [
+            ({'fail': True}, {}, 'failed', 'status_500'),
+            ({'run_ms': 60_000}, {'deadline_ms': 50}, 'unknown', 'deadline'),
+            ({}, {'deadline_ms': 0}, 'refused', 'deadline'),
+            ({}, {'service': 'sweeps'}, 'refused', 'wrong_service'),
+        ],
+    )
+    async def test_other_ends(self, payload, fields, status, reason):
+        async with _deployment() as (entry, _agent, _target):
+            name = entry.dispatch(1, payload, **fields)
+            outcome = await entry.wait_for(Outcome, _outcome_of(name))
+        assert (outcome.status, outcome.reason) == (status, reason)
+
+    async def test_a_duplicated_dispatch_starts_once(self):
+        async with _deployment() as (entry, _agent, target):
+            for _copy in range(3):
+                entry.dispatch(1, {'run_ms': 20})
+            await entry.wait_for(Outcome)
+            last = entry.dispatch(2, {})
+            await entry.wait_for(Outcome, _outcome_of(last))
+        assert target.stats.starts == 2
+
+    async def test_a_cancelled_task_is_stopped(self):
+        async with _deployment() as (entry, _agent, target):
+            name = entry.dispatch(1, {'run_ms': 60_000}, deadline_ms=60_000)
+            while not target.stats.running:
+                await asyncio.sleep(0.01)
+            entry.link.post(Cancel(name.owner, 1, [0]))
+            outcome = await entry.wait_for(Outcome)
+        assert outcome.status == 'cancelled'
+        assert target.stats.cancelled == 1
+
+    async def test_a_full_target_refuses(self):
+        async with _deployment() as (entry, _agent, target):
+            for sequence in range(9):
+                entry.dispatch(sequence, {'run_ms': 100})
+            outcomes = [await entry.wait_for(Outcome) for _number in range(9)]
+        reasons = [outcome.reason for outcome in outcomes]
+        assert reasons.count('full') == 1
+        assert target.stats.max_concurrent == 8
+
+
+class TestState:
+    async def test_a_silent_target_closes_the_gate(self):
+        async with _deployment() as (entry, _agent, target):
+            target.inject(Faults(hang=True))
+            await entry.wait_for(AgentState, lambda state: state.state == 'closed')
+            entry.dispatch(1, {})
+            outcome = await entry.wait_for(Outcome)
+            assert outcome.reason == 'closed'
+            entry.messages.clear()
+            target.inject(Faults())
+            await entry.wait_for(AgentState, lambda state: state.state == 'open')
+            assert await entry.wait_for(Grant) == Grant(8)
+
+    async def test_a_leaving_target_finishes_and_gets_nothing_new(self):
+        async with _deployment() as (entry, _agent, target):
+            running = entry.dispatch(1, {'run_ms': 200})
+            while not target.stats.running:
+                await asyncio.sleep(0.01)
+            leave = asyncio.ensure_future(target.leave())
+            await entry.wait_for(AgentState, lambda state: state.state == 'leaving')
+            late = entry.dispatch(2, {})
+            refused = await entry.wait_for(Outcome, _outcome_of(late))
+            finished = await entry.wait_for(Outcome, _outcome_of(running))
+            await leave
+        assert refused.reason == 'leaving'
+        assert finished.status == 'done'
+
+    async def test_a_dead_target_refuses_what_was_never_sent(self):
+        async with _deployment() as (entry, _agent, target):
+            await target.__aexit__()
+            entry.dispatch(1, {})
+            outcome = await entry.wait_for(Outcome)
+        assert (outcome.status, outcome.reason) == ('refused', 'closed')
+
+
+class TestTakeover:
+    async def test_a_fenced_owner_is_refused(self):
+        async with _deployment() as (entry, _agent, target):
+            entry.link.post(Fence(entry.identity.incarnation))
+            await entry.wait_for(Fenced)
+            entry.dispatch(1, {})
+            outcome = await entry.wait_for(Outcome)
+        assert outcome.reason == 'fenced'
+        assert target.stats.starts == 0
+
+    async def test_a_recall_reports_running_and_later_the_end(self):
+        async with _deployment() as (entry, _agent, target):
+            name = entry.dispatch(1, {'run_ms': 300}, kind='job')
+            while not target.stats.running:
+                await asyncio.sleep(0.01)
+            entry.link.post(Recall(5, name.owner, 1))
+            recalled = await entry.wait_for(Recalled)
+            outcome = await entry.wait_for(Outcome)
+        assert [binding.status for binding in recalled.outcomes] == ['running']
+        assert outcome.status == 'done'
+
+    async def test_a_result_is_sent_again_when_the_link_returns(self):
+        async with _deployment() as (entry, _agent, target):
+            name = entry.dispatch(1, {'run_ms': 100, 'echo': 1}, kind='job')
+            while not target.stats.running:
+                await asyncio.sleep(0.01)
+            entry.link.close()
+            outcome = await entry.wait_for(Outcome, _outcome_of(name))
+        assert outcome.status == 'done'
+        assert len(entry.joins) == 2
+
+
+class TestText:
+    async def test_a_newer_version_is_requested_and_passed_on(self):
+        async with _deployment() as (entry, _agent, _target):
+            entry.version = 4
+            entry.link.post(Acknowledge(entry.identity.incarnation, [1]))
+            await entry.wait_for(TextRequest)
+            entry.link.post(TextUpdate(4, b'{}'))
+            entry.link.post(TextUpdate(3, b'old'))
+            entry.link.post(TextRequest())
+            update = await entry.wait_for(TextUpdate)
+        assert update == TextUpdate(4, b'{}')
+
+
+class TestDrain:
+    async def test_what_runs_is_finished_and_the_new_refused(self):
+        async with _deployment(drain_timeout_s=1) as (entry, agent, target):
+            running = entry.dispatch(1, {'run_ms': 200}, kind='job')
+            while not target.stats.running:
+                await asyncio.sleep(0.01)
+            drain = asyncio.ensure_future(agent.drain())
+            await entry.wait_for(AgentState, lambda state: state.state == 'leaving')
+            late = entry.dispatch(2, {})
+            refused = await entry.wait_for(Outcome, _outcome_of(late))
+            finished = await entry.wait_for(Outcome, _outcome_of(running))
+            assert not drain.done()
+            entry.link.post(Acknowledge(running.owner, [1]))
+            await drain
+        assert refused.reason == 'leaving'
+        assert finished.status == 'done'
+
+
+class TestShortClosing:
+    async def test_a_lapse_that_ends_at_once_is_told_and_grants_anew(self):
+        async with _deployment() as (entry, agent, target):
+            target.inject(Faults(hang=True))
+            agent._gate.close()
+            entry.messages.clear()
+            await target.announce()
+            closed = await entry.wait_for(AgentState)
+            opened = await entry.wait_for(AgentState)
+            grant = await entry.wait_for(Grant)
+        assert (closed.state, opened.state) == ('closed', 'open')
+        assert grant == Grant(8)
