--- a/tests/table/measure_journal.py
+++ b/tests/table/measure_journal.py
@@ -18,8 +18,9 @@
 from endivetally_table import HttpTable
 from endivetally_table import Journal
 from endivetally_table import JournalEntry
+from endivetally_table import JournalHistory
 from endivetally_table import ShardDirectory
-from endivetally_table import read_journal
+from endivetally_table import iterate_journal
 from hdrh.histogram import HdrHistogram
 
 RUN_S = 4
@@ -104,10 +105,10 @@
         begin = time.monotonic()
         await directory.take_over('e0.1', identity(1))
         taken = time.monotonic()
-        found = await read_journal(table, 'e0.1')
+        found = await JournalHistory.read(iterate_journal(table, 'e0.1'))
         read = time.monotonic()
     print(
-        f'| {len(found)} | {sum(len(batch.entries) for batch in found)} '
+        f'| {batches} | {len(list(found.entries))} '
         f'| {(taken - begin) * 1000:.0f} | {(read - taken) * 1000:.0f} |',
         flush=True,
     )
