--- a/libs/endivetally-table/src/endivetally_table/journal.py
+++ b/libs/endivetally-table/src/endivetally_table/journal.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import logging
 import secrets
 from dataclasses import dataclass
 from typing import Final
@@ -16,29 +17,23 @@
 from endivetally_core.errors import Fenced
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import RunState
-from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import EntryIdentity
 
 from endivetally_table.batches import JournalBatch
 from endivetally_table.batches import JournalEntry
-from endivetally_table.batches import batch_key
-from endivetally_table.batches import decode_batch
-from endivetally_table.batches import encode_batch
-from endivetally_table.entries import while_live
 from endivetally_table.pending import PendingBatch
 from endivetally_table.segments import Pruning
 from endivetally_table.segments import SegmentLog
-from endivetally_table.table import Condition
-from endivetally_table.table import Put
 from endivetally_table.table import Table
-from endivetally_table.table import Transaction
+from endivetally_table.writer import BatchWriter
 
-SETTLE_ATTEMPTS: Final = 3
 SETTLE_TIMEOUT_S: Final = 2.0
 PROBE_INTERVAL_S: Final = 0.5
 _WRITE_ID_BYTES: Final = 8
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class JournalCounters:
@@ -46,13 +41,11 @@
 
     :param writes: batches that are durable.
     :param rows: journal entries that are durable.
-    :param read_backs: reads that settled a write with a lost answer.
     :param refused: entries refused because the table was unavailable.
     """
 
     writes: int = 0
     rows: int = 0
-    read_backs: int = 0
     refused: int = 0
 
 
@@ -74,7 +67,7 @@
         settle_timeout_s: float = SETTLE_TIMEOUT_S,
     ) -> None:
         self.counters = JournalCounters()
-        self._table = table
+        self._batches = BatchWriter(table, identity.incarnation)
         self._incarnation = identity.incarnation
         self._probe_interval_s = probe_interval_s
         self._settle_timeout_s = settle_timeout_s
@@ -90,6 +83,7 @@
         self._fenced = False
         self._stack = contextlib.ExitStack()
         writer = asyncio.get_running_loop().create_task(self._write_batches())
+        writer.add_done_callback(self._writer_ended)
         self._stack.callback(writer.cancel)
 
     @property
@@ -97,6 +91,11 @@
         """Whether the table takes writes, as far as is known."""
         return self._available and not self._fenced
 
+    @property
+    def read_backs(self) -> int:
+        """Reads that settled a write with a lost answer."""
+        return self._batches.read_backs
+
     @property
     def fenced(self) -> bool:
         """Whether this incarnation has ended."""
@@ -105,7 +104,7 @@
     @property
     def admitted(self) -> frozenset[str]:
         """Agent incarnations that non-idempotent tasks may be bound to."""
-        return self._admitted
+        return frozenset() if self._fenced else self._admitted
 
     async def record(self, entry: JournalEntry) -> None:
         """Make an entry durable; a caller that gives up never starts it.
@@ -161,19 +160,26 @@
     def close(self) -> None:
         """End the writer; entries that wait are refused."""
         self._stack.close()
+        self._refuse_all()
+
+    def _refuse_all(self) -> None:
         self._available = False
         self._ready.clear()
         self._idle.set()
         self._in_flight.fail(_unavailable)
         self._pending.fail(_unavailable)
 
+    def _writer_ended(self, writer: asyncio.Task[None]) -> None:
+        if not writer.cancelled() and writer.exception() is not None:
+            _logger.error('journal has failed', exc_info=writer.exception())
+            self._refuse_all()
+
     async def _commit_pruning(self, pruning: Pruning) -> None:
-        conditions = (while_live(self._incarnation),)
         try:
-            await self._table.commit(Transaction(conditions, pruning.puts))
-        except TableConflict as error:
+            await self._batches.commit_live(*pruning.puts)
+        except Fenced:
             self._end()
-            raise Fenced(self._incarnation) from error
+            raise
         self._segments.prune(pruning)
 
     def _check_open(self) -> None:
@@ -201,7 +207,9 @@
         number = self._number
         self._number += 1
         try:
-            await asyncio.wait_for(self._commit(number, batch), self._settle_timeout_s)
+            await asyncio.wait_for(
+                self._batches.write(number, batch), self._settle_timeout_s
+            )
         except (TableUnavailable, TimeoutError):
             self._refuse(taken)
         except Fenced:
@@ -209,39 +217,6 @@
         else:
             self._written(number, batch, taken)
 
-    async def _commit(self, number: int, batch: JournalBatch) -> None:
-        key = batch_key(self._incarnation, number)
-        transaction = Transaction(
-            (while_live(self._incarnation), Condition(key, 0)),
-            (Put(key, encode_batch(batch)),),
-        )
-        attempts = SETTLE_ATTEMPTS
-        while not await self._settled(key, transaction, batch.write_id):
-            attempts -= 1
-            if not attempts:
-                raise TableUnavailable(key)
-
-    async def _settled(self, key: str, transaction: Transaction, write_id: str) -> bool:
-        conflict = False
-        try:
-            await self._table.commit(transaction)
-        except TableConflict:
-            conflict = True
-        except TableUnavailable:
-            conflict = False
-        else:
-            return True
-        if await self._has_landed(key, write_id):
-            return True
-        if conflict:
-            raise Fenced(self._incarnation)
-        return False
-
-    async def _has_landed(self, key: str, write_id: str) -> bool:
-        self.counters.read_backs += 1
-        row = await self._table.read(key)
-        return row is not None and decode_batch(row).write_id == write_id
-
     def _written(self, number: int, batch: JournalBatch, taken: PendingBatch) -> None:
         self.counters.writes += 1
         self.counters.rows += len(batch.entries)
@@ -252,6 +227,7 @@
 
     def _refuse(self, taken: PendingBatch) -> None:
         self._available = False
+        _logger.warning('journal is unavailable', extra={'entry': self._incarnation})
         refused = self._pending
         self._pending = PendingBatch()
         self._ready.clear()
@@ -265,24 +241,24 @@
         self._ready.clear()
         self._in_flight.fail(self._new_fenced)
         self._pending.fail(self._new_fenced)
-        self._admitted = frozenset()
+        _logger.warning('journal is fenced', extra={'entry': self._incarnation})
 
     def _new_fenced(self) -> Fenced:
         return Fenced(self._incarnation)
 
     async def _probe(self) -> None:
-        """Commit nothing, under the writer's condition, until it works."""
-        transaction = Transaction((while_live(self._incarnation),), ())
         while not self._available:
             await asyncio.sleep(self._probe_interval_s)
             with contextlib.suppress(TableUnavailable):
-                await self._probe_once(transaction)
+                await self._probe_once()
 
-    async def _probe_once(self, transaction: Transaction) -> None:
+    async def _probe_once(self) -> None:
         try:
-            await self._table.commit(transaction)
-        except TableConflict:
+            await self._batches.commit_live()
+        except Fenced:
             self._end()
+        else:
+            _logger.info('journal is available', extra={'entry': self._incarnation})
         self._available = True
 
 
--- a/tests/table/test_journal.py
+++ b/tests/table/test_journal.py
@@ -97,7 +97,7 @@
         await journal.record(entry(0))
         table.land_late_commits()
         assert await recorded(table) == [[0]]
-        assert journal.counters.read_backs == 1
+        assert journal.read_backs == 1
 
     async def test_given_up_write_burns_its_number(self, table, journal):
         table.faults.late_commits = 3
@@ -176,6 +176,15 @@
         with pytest.raises(Fenced):
             await journal.record(entry(1))
 
+    async def test_failed_writer_refuses_what_waits(self, table, journal):
+        async def fail(_transaction):
+            raise RuntimeError('client is closed')
+
+        table.commit = fail
+        errors = await record_all(journal, 0, 1)
+        assert {error.kind for error in errors} == {ErrorKind.PLATFORM_UNAVAILABLE}
+        assert not journal.available
+
     async def test_close_refuses_what_waits(self, journal):
         call = asyncio.create_task(journal.record(entry(0)))
         await asyncio.sleep(0)
