Follow the payload and faults of the target stand-in

The stand-in answers the payload's echo and records its id; its faults are fail_all and slow_factor.

--- a/libs/endivetally/src/endivetally/bench_faults.py
+++ b/libs/endivetally/src/endivetally/bench_faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from endivetally_standins.target import TargetFaults
+from endivetally_standins.target import Faults as TargetFaults
 from endivetally_table.memory import TableFaults
 
 from endivetally.bench_probes import FleetProbe
@@ -112,7 +112,7 @@
 FAULTS: Final[Mapping[str, Fault]] = {
     'none': NoFault(),
     'black-hole': TargetFault(TargetFaults(fail_all=True)),
-    'straggler': TargetFault(TargetFaults(slowdown=STRAGGLER_FACTOR)),
+    'straggler': TargetFault(TargetFaults(slow_factor=STRAGGLER_FACTOR)),
     'platform-down': PlatformDown(),
     'entry-kill': EntryKill(),
     'rack-loss': RackLoss(),
--- a/libs/endivetally/src/endivetally/bench_probes.py
+++ b/libs/endivetally/src/endivetally/bench_probes.py
@@ -71,10 +71,7 @@
 
 
 class StartRecord(msgspec.Struct, frozen=True):
-    """One start that a target recorded.
-
-    :param payload: what the target was given.
-    """
+    """One start that a target recorded; `id` stood in the payload."""
 
     id: str
 
--- a/libs/endivetally/src/endivetally/fleet_commands.py
+++ b/libs/endivetally/src/endivetally/fleet_commands.py
@@ -45,10 +45,9 @@
         seeds=seeds,
         ready_file=group.ready_file(place.name),
         allow_shaping=True,
+        scheduler=deployment.scheduler,
     )
     fields = msgspec.to_builtins(settings)
-    if deployment.scheduler != 'credits':
-        fields['scheduler'] = deployment.scheduler
     return _daemon(group, place.name, 'endivetally_entry', fields)
 
 
--- a/libs/endivetally/src/endivetally/load_answers.py
+++ b/libs/endivetally/src/endivetally/load_answers.py
@@ -13,17 +13,22 @@
 
 
 class TaskPayload(msgspec.Struct, frozen=True):
-    """Payload of a task for the stand-in of a target, which echoes its id."""
+    """Payload of a task for the stand-in of a target.
+
+    :param id: in the target's record of the start.
+    :param echo: in the answer.
+    """
 
     id: str
+    echo: str
     run_ms: int
-    subject: str = ''
+    subject: str
 
 
 class TaskEcho(msgspec.Struct, frozen=True):
     """What the stand-in of a target answers."""
 
-    id: str
+    echo: str
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -80,9 +85,10 @@
 def request_body(arrival: Arrival) -> bytes:
     """Return the body of a request."""
     subjects = arrival.subjects or ['' for _ in arrival.run_ms]
+    ids = task_ids(arrival)
     payloads = [
         TaskPayload(*fields)
-        for fields in zip(task_ids(arrival), arrival.run_ms, subjects, strict=True)
+        for fields in zip(ids, ids, arrival.run_ms, subjects, strict=True)
     ]
     if arrival.kind is ServiceKind.JOB:
         return msgspec.json.encode({'tasks': payloads})
@@ -100,7 +106,7 @@
         echoes = _decode_echoes(arrival, body)
     except msgspec.DecodeError:
         return CheckedAnswer(Verdict.PARTIAL, 'undecodable')
-    if [echo.id for echo in echoes] == task_ids(arrival):
+    if [each.echo for each in echoes] == task_ids(arrival):
         return CheckedAnswer(Verdict.WHOLE)
     return CheckedAnswer(Verdict.PARTIAL, 'other_ids')
 
--- a/tests/bench/test_load_report.py
+++ b/tests/bench/test_load_report.py
@@ -33,15 +33,20 @@
     @pytest.mark.parametrize(
         ('arrival', 'status', 'body', 'verdict'),
         [
-            (LOOKUP, 200, b'{"id": "l/0"}', Verdict.WHOLE),
-            (LOOKUP, 200, b'{"id": "x/0"}', Verdict.PARTIAL),
-            (LOOKUP, 200, b'{"id": "l', Verdict.PARTIAL),
-            (SWEEP, 200, b'{"results": [{"id": "s/0"}, {"id": "s/1"}]}', Verdict.WHOLE),
-            (SWEEP, 200, b'{"results": [{"id": "s/0"}]}', Verdict.PARTIAL),
+            (LOOKUP, 200, b'{"echo": "l/0"}', Verdict.WHOLE),
+            (LOOKUP, 200, b'{"echo": "x/0"}', Verdict.PARTIAL),
+            (LOOKUP, 200, b'{"echo": "l', Verdict.PARTIAL),
             (
                 SWEEP,
                 200,
-                b'{"results": [{"id": "s/1"}, {"id": "s/0"}]}',
+                b'{"results": [{"echo": "s/0"}, {"echo": "s/1"}]}',
+                Verdict.WHOLE,
+            ),
+            (SWEEP, 200, b'{"results": [{"echo": "s/0"}]}', Verdict.PARTIAL),
+            (
+                SWEEP,
+                200,
+                b'{"results": [{"echo": "s/1"}, {"echo": "s/0"}]}',
                 Verdict.PARTIAL,
             ),
             (
--- a/tests/bench/test_load_worker.py
+++ b/tests/bench/test_load_worker.py
@@ -42,7 +42,7 @@
             self.entry.drops -= 1
             self.detach().close()
             return
-        self.write('{"id": "n/0"}')
+        self.write('{"echo": "n/0"}')
 
 
 @pytest_asyncio.fixture
