Keep an entry that released shards running

Ruled out: a real fence; its row in the table was live. Conclusion: only the entry's own row tells whether it is fenced.

--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -139,13 +139,13 @@
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
         live = await entry.registry.live()
+        if entry.identity not in live:
+            self._fenced()
+            return
         for identity in live:
             entry.entry_links.connect(identity)
         if entry.state == 'open' and entry.journal.available:
             await self._rebalance()
-        former = {owner.incarnation for owner in entry.directory.shard_map.former}
-        if entry.identity.incarnation in former and entry.state == 'open':
-            self._fenced()
 
     async def _rebalance(self) -> None:
         """Release shards that belong to another linked entry."""
@@ -182,7 +182,7 @@
         silent = entry.agent_links.mark_silent_agents()
         if silent:
             entry.entry_links.broadcast(AgentNews(silent))
-        if entry.journal.fenced and entry.state == 'open':
+        if entry.journal.fenced:
             self._fenced()
         if entry.state == 'open':
             await self._succession.check()
@@ -196,6 +196,8 @@
         entry.ledger.prune()
 
     def _fenced(self) -> None:
+        if self._stopping.is_set():
+            return
         _log.warning('this incarnation was fenced; stopping')
         self._exit_code = EXIT_FENCED
         self.stop()
--- a/libs/endivetally-entry/src/endivetally_entry/ownership.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ownership.py
@@ -42,6 +42,7 @@
         self._journal = journal
         self._releasing: frozenset[int] = frozenset()
         self._changed = asyncio.Condition()
+        self._reading = asyncio.Lock()
 
     async def start(self) -> None:
         """Claim this entry's shards and read what their former owners did.
@@ -56,8 +57,9 @@
 
         :raises TableUnavailable: when the table does not answer.
         """
-        await self._directory.refresh()
-        await self._read_histories()
+        async with self._reading:
+            await self._directory.refresh()
+            await self._read_histories()
         await self._notify()
 
     async def take_over(self, dead: 'EntryIdentity') -> None:
