--- a/tests/policy/queueing.py
+++ b/tests/policy/queueing.py
@@ -236,11 +236,11 @@
     def returned(self, entry, number, count):
         agent = self.agents[number]
         agent.credits[entry] -= count
-        for _ in range(count):
-            owner = agent.next_owner(entry)
-            agent.credits[owner] += 1
+        owners = Counter(agent.next_owner(entry) for _ in range(count))
+        agent.credits.update(owners)
+        for owner, granted in owners.items():
             self.report.wasted['grant'] += 1
-            self.send(self.granted, owner, number, 1)
+            self.send(self.granted, owner, number, granted)
 
 
 def number_of(incarnation):
--- a/tests/policy/test_scheduling.py
+++ b/tests/policy/test_scheduling.py
@@ -16,6 +16,7 @@
 from policy.builders import identity
 from policy.builders import join
 from policy.builders import task
+from policy.queueing import Model
 
 AGENTS = st.integers(0, 4)
 STATUSES = st.sampled_from(['done', 'failed', 'refused', 'unknown', 'cancelled'])
@@ -288,6 +289,11 @@
         assert bound == 5
         assert sent <= 8 + 2 * 3
 
+    @pytest.mark.parametrize('load', [0.5, 0.8, 0.95])
+    def test_are_below_one_in_a_hundred_messages(self, load):
+        report = Model(load, 40).run()
+        assert report.wasted['demand'] <= 0.01 * 2 * len(report.ratios)
+
     def test_never_asks_unadmitted_agents_for_exclusive_tasks(self):
         scheduler = CreditScheduler('dc1')
         join(scheduler, 3)
