Take a team's turn only when its task is bound

bind() popped the head task before it knew of an agent and put it back, which used up the team's turn. With one credit at a time, weights of 1 to 3 gave 20 to 20 starts, or 0 to 40 with one idle call between grants: the first team starved. The fairness test of the queue alone could not see it. bind() now looks at the head and pops it when an agent was found; the same sequences give 10 to 30.

--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -133,17 +133,19 @@
         self._reinstate(now)
         bindings = []
         passed: list[PendingTask] = []
-        while self.queue and len(passed) < _PASSED_TASKS:
-            task = self.queue.pop()
+        task = self.queue.peek()
+        while task is not None and len(passed) < _PASSED_TASKS:
             agent = self._pick(task, now)
-            if agent is not None:
-                bindings.append(self._assign(task, agent))
-                continue
-            passed.append(task)
-            if not task.avoid:
+            if agent is None and not task.avoid:
                 break
-        for task in reversed(passed):
-            self.queue.restore(task)
+            self.queue.pop()
+            if agent is None:
+                passed.append(task)
+            else:
+                bindings.append(self._assign(task, agent))
+            task = self.queue.peek()
+        for held in reversed(passed):
+            self.queue.restore(held)
         self._timer.bound(len(bindings))
         return bindings
 
--- a/tests/policy/test_scheduling.py
+++ b/tests/policy/test_scheduling.py
@@ -230,6 +230,20 @@
         assert [binding.task.name.number for binding in scheduler.bind(0)] == [1]
         assert scheduler.waiting(SERVICE) == 1
 
+    @pytest.mark.parametrize('idle_calls', [0, 1, 2])
+    def test_calls_without_credits_do_not_take_turns(self, idle_calls):
+        scheduler = CreditScheduler('dc1')
+        join(scheduler, 1)
+        for number in range(100):
+            scheduler.submit(task(number, 0, 'a', weight=1), 0)
+            scheduler.submit(task(number, 1, 'b', weight=3), 0)
+        served = Counter()
+        for _ in range(40):
+            assert not any(scheduler.bind(0) for _ in range(idle_calls))
+            scheduler.credits_granted('agent-0.0', 1, 0)
+            served.update(binding.task.team for binding in scheduler.bind(0))
+        assert served == {'a': 10, 'b': 30}
+
     def test_failing_agent_gets_probes_only(self):
         scheduler = CreditScheduler('dc1')
         join(scheduler, 4, granted=100)
