--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -165,7 +165,7 @@
     """Entry to entry and entry to agent: heartbeat.
 
     :param state: ``open`` or ``leaving``.
-    :param usage: tasks started per team in the last interval.
+    :param usage: task starts a second that callers of each team asked for.
     """
 
     state: Identifier
