--- a/tests/policy/test_scheduling.py
+++ b/tests/policy/test_scheduling.py
@@ -16,6 +16,7 @@
 from policy.builders import identity
 from policy.builders import join
 from policy.builders import task
+from policy.queueing import Model
 
 AGENTS = st.integers(0, 4)
 STATUSES = st.sampled_from(['done', 'failed', 'refused', 'unknown', 'cancelled'])
@@ -229,6 +230,20 @@
         assert [binding.task.name.number for binding in scheduler.bind(0)] == [1]
         assert scheduler.waiting(SERVICE) == 1
 
+    @pytest.mark.parametrize('idle_calls', [0, 1, 2])
+    def test_calls_without_credits_do_not_take_turns(self, idle_calls):
+        scheduler = CreditScheduler('dc1')
+        join(scheduler, 1)
+        for number in range(100):
+            scheduler.submit(task(number, 0, 'a', weight=1), 0)
+            scheduler.submit(task(number, 1, 'b', weight=3), 0)
+        served = Counter()
+        for _ in range(40):
+            assert not any(scheduler.bind(0) for _ in range(idle_calls))
+            scheduler.credits_granted('agent-0.0', 1, 0)
+            served.update(binding.task.team for binding in scheduler.bind(0))
+        assert served == {'a': 10, 'b': 30}
+
     def test_failing_agent_gets_probes_only(self):
         scheduler = CreditScheduler('dc1')
         join(scheduler, 4, granted=100)
@@ -288,6 +303,11 @@
         assert bound == 5
         assert sent <= 8 + 2 * 3
 
+    @pytest.mark.parametrize('load', [0.5, 0.8, 0.95])
+    def test_are_below_one_in_a_hundred_messages(self, load):
+        report = Model(load, 40).run()
+        assert report.wasted['demand'] <= 0.01 * 2 * len(report.ratios)
+
     def test_never_asks_unadmitted_agents_for_exclusive_tasks(self):
         scheduler = CreditScheduler('dc1')
         join(scheduler, 3)
