Tell crashes from planned ends, compare with one queue over all slots

In a trial an entry exited of its own accord in the middle of the demonstration and the demonstration passed: its messages were missing from the sum, and the other entry answered everything. Processes that exit without a signal from the fleet now fail a check of the demonstration and are listed by the bench.

The bench also reports the response ratio of one first-come-first-served queue over all slots of a service, which needs no messages: under bursts part of the ratio can't be avoided by any dispatcher that does not know run times.

--- a/libs/endivetally/src/endivetally/bench_report.py
+++ b/libs/endivetally/src/endivetally/bench_report.py
@@ -31,6 +31,8 @@
     :param wire_ms: the wire's minimum that was used.
     :param cpu_ms_per_task: milliseconds of processor time per task, by role.
     :param late_ms: by how much the generator was late.
+    :param crashed: names of processes that exited of their own accord.
+    :param floors: response ratios of one queue for all slots without messages.
     """
 
     overall: KindReport
@@ -41,6 +43,8 @@
     wire_ms: float
     cpu_ms_per_task: Mapping[str, float]
     late_ms: Percentiles
+    crashed: list[str]
+    floors: Mapping[str, Percentiles]
 
 
 def kind_fields(report: KindReport) -> dict[str, object]:
@@ -82,7 +86,11 @@
         },
         'wire_ms': round(report.wire_ms, 3),
         'generator_late_ms_p99': report.late_ms.p99,
-        'kinds': {name: kind_fields(kind) for name, kind in report.kinds.items()},
+        'crashed': report.crashed,
+        'kinds': {
+            name: {**kind_fields(kind), **_floor_fields(report.floors[name])}
+            for name, kind in report.kinds.items()
+        },
     }
 
 
@@ -105,6 +113,10 @@
     return table
 
 
+def _floor_fields(floor: Percentiles) -> dict[str, object]:
+    return {'floor_ratio_p50': floor.p50, 'floor_ratio_p99': floor.p99}
+
+
 def _row(kind: KindReport) -> list[str]:
     ratios = kind.ratios
     unanswered = kind.count(Verdict.LOST) + kind.count(Verdict.PARTIAL)
--- a/libs/endivetally/src/endivetally/bench_run.py
+++ b/libs/endivetally/src/endivetally/bench_run.py
@@ -18,7 +18,9 @@
 from endivetally.fleet import Fleet
 from endivetally.fleet_deployment import Deployment
 from endivetally.load import LoadGenerator
+from endivetally.load_floor import floor_ratios
 from endivetally.load_mix import plan_arrivals
+from endivetally.load_report import Percentiles
 from endivetally.load_report import late_percentiles
 from endivetally.load_report import report_kind
 from endivetally.load_report import report_kinds
@@ -121,8 +123,24 @@
                 for role, cpu_s in probe.cpu_s.items()
             },
             late_ms=late_percentiles(records),
+            crashed=fleet.crashed,
+            floors=self._floors(slots_of, wire_ms),
         )
 
+    def _floors(
+        self,
+        slots_of: Mapping[str, int],
+        wire_ms: float,
+    ) -> dict[str, Percentiles]:
+        return {
+            service: floor_ratios(
+                [due for due in self._arrivals if due.service == service],
+                slots,
+                wire_ms,
+            )
+            for service, slots in slots_of.items()
+        }
+
     def _capacity(self, records: Mapping[str, LoadRecord], slots: int) -> Capacity:
         seconds = self._plan.seconds
         run_ms = tasks_whole_within(self._arrivals, records, seconds)
--- a/libs/endivetally/src/endivetally/demo.py
+++ b/libs/endivetally/src/endivetally/demo.py
@@ -121,4 +121,5 @@
         kinds=report_kinds(arrivals, records, slots_of, wire_ms),
         starts=starts,
         costs=message_costs(probe.messages, starts.tasks_done),
+        crashed=fleet.crashed,
     )
--- a/libs/endivetally/src/endivetally/demo_report.py
+++ b/libs/endivetally/src/endivetally/demo_report.py
@@ -13,12 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DemoReport:
-    """Answers, starts and messages of a demonstration."""
+    """Answers, starts and messages of a demonstration.
+
+    :param crashed: names of processes that exited of their own accord.
+    """
 
     overall: KindReport
     kinds: Mapping[str, KindReport]
     starts: StartReport
     costs: MessageCosts
+    crashed: list[str]
 
     @property
     def lost(self) -> int:
@@ -35,6 +39,7 @@
             'none partial': not self.overall.count(Verdict.PARTIAL),
             'none lost': not self.lost,
             'none doubled': not self.starts.doubled,
+            'no process crashed': not self.crashed,
             'none ran after a refusal': not self.starts.ran_after_refusal,
         }
         return tuple(name for name, holds in checks.items() if not holds)
@@ -58,6 +63,7 @@
         'control_ratio': round(report.costs.control_ratio, 4),
         'waste': dict(report.costs.waste),
         'codes': dict(overall.codes),
+        'crashed': report.crashed,
         'broken_checks': list(report.broken_checks),
     }
 
--- a/libs/endivetally/src/endivetally/fleet.py
+++ b/libs/endivetally/src/endivetally/fleet.py
@@ -73,6 +73,11 @@
         """Targets that run, in the order of the deployment."""
         return self._group.alive(worker.target for worker in self.deployment.workers)
 
+    @property
+    def crashed(self) -> list[str]:
+        """Names of processes that exited without a signal from the fleet."""
+        return self._group.crashed
+
     def process(self, name: str) -> FleetProcess:
         """Return the process of that name, running or not.
 
--- a/libs/endivetally/src/endivetally/fleet_group.py
+++ b/libs/endivetally/src/endivetally/fleet_group.py
@@ -23,6 +23,11 @@
         self.directory = directory
         self._processes: dict[str, FleetProcess] = {}
 
+    @property
+    def crashed(self) -> list[str]:
+        """Names of processes that exited without a signal from the fleet."""
+        return [name for name, process in self._processes.items() if process.crashed]
+
     def get(self, name: str) -> FleetProcess:
         """Return the process of that name.
 
--- a/libs/endivetally/src/endivetally/fleet_process.py
+++ b/libs/endivetally/src/endivetally/fleet_process.py
@@ -38,6 +38,7 @@
         self._log_file = log_file
         self._process: asyncio.subprocess.Process | None = None
         self._address: Address | None = None
+        self._signalled = False
 
     @property
     def address(self) -> Address:
@@ -72,6 +73,11 @@
         """Whether it was started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def crashed(self) -> bool:
+        """Whether it exited without a signal from the fleet."""
+        return self.exit_code is not None and not self._signalled
+
     @property
     def log(self) -> str:
         """What it has written to standard output and standard error."""
@@ -88,6 +94,7 @@
         if self.alive:
             raise FleetError(f'{self.name} runs already')
         self._ready_file.unlink(missing_ok=True)
+        self._signalled = False
         with self._log_file.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -100,8 +107,8 @@
 
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Send SIGTERM and return the exit code; SIGKILL after the timeout."""
-        self._signal(signal.SIGCONT)
         self._signal(signal.SIGTERM)
+        self._signal(signal.SIGCONT)
         return await self.wait(timeout_s)
 
     async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
@@ -123,11 +130,11 @@
 
     def freeze(self) -> None:
         """Send SIGSTOP."""
-        self._signal(signal.SIGSTOP)
+        self._running().send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Send SIGCONT."""
-        self._signal(signal.SIGCONT)
+        self._running().send_signal(signal.SIGCONT)
 
     def _running(self) -> asyncio.subprocess.Process:
         if self._process is None:
@@ -135,6 +142,9 @@
         return self._process
 
     def _signal(self, number: signal.Signals) -> None:
+        if self.crashed:
+            return
+        self._signalled = True
         with contextlib.suppress(ProcessLookupError):
             self._running().send_signal(number)
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/load_floor.py
@@ -0,0 +1,46 @@
+"""Response ratios that no dispatcher without knowledge of run times avoids.
+
+One queue, first come first served, feeds all slots of a service; nothing takes
+time but the tasks and the wire. Only shorter tasks before longer ones could do
+better, and nobody knows run times beforehand.
+"""
+
+import heapq
+from typing import Final
+
+from endivetally.load_mix import Arrival
+from endivetally.load_report import RATIO_SCALE
+from endivetally.load_report import Percentiles
+from endivetally.load_report import ideal_ms
+from endivetally.load_report import new_histogram
+from endivetally.load_report import percentiles
+
+_MS_PER_S: Final = 1000
+
+
+def floor_ratios(
+    arrivals: list[Arrival],
+    slots: int,
+    wire_ms: float,
+) -> Percentiles:
+    """Return the ratios of one queue over all slots of a service.
+
+    :param arrivals: requests of one service, in order of time.
+    """
+    free_at_ms = [float(0) for _ in range(slots)]
+    ratios = new_histogram()
+    for arrival in arrivals:
+        ended_ms = _run_tasks(arrival, free_at_ms)
+        response_ms = ended_ms - arrival.at_s * _MS_PER_S + wire_ms
+        ratio = response_ms / ideal_ms(arrival, slots, wire_ms)
+        ratios.record_value(round(ratio * RATIO_SCALE))
+    return percentiles(ratios, RATIO_SCALE)
+
+
+def _run_tasks(arrival: Arrival, free_at_ms: list[float]) -> float:
+    ended_ms = float(0)
+    for run_ms in arrival.run_ms:
+        started_ms = max(free_at_ms[0], arrival.at_s * _MS_PER_S)
+        heapq.heapreplace(free_at_ms, started_ms + run_ms)
+        ended_ms = max(ended_ms, started_ms + run_ms)
+    return ended_ms
--- a/libs/endivetally/src/endivetally/load_report.py
+++ b/libs/endivetally/src/endivetally/load_report.py
@@ -14,7 +14,7 @@
 from endivetally.load_mix import Arrival
 from endivetally.load_worker import LoadRecord
 
-_RATIO_SCALE: Final = 1000
+RATIO_SCALE: Final = 1000
 _MS_SCALE: Final = 100
 _HIGHEST: Final = 100_000_000
 _DIGITS: Final = 3
@@ -73,6 +73,11 @@
     missing: int
 
 
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram with three significant digits."""
+    return HdrHistogram(1, _HIGHEST, _DIGITS)
+
+
 def ideal_ms(arrival: Arrival, slots: int, wire_ms: float) -> float:
     """Return the response time on idle workers.
 
@@ -100,8 +105,8 @@
     """
     verdicts: Counter[str] = Counter()
     codes: Counter[str] = Counter()
-    ratios = HdrHistogram(1, _HIGHEST, _DIGITS)
-    refusals = HdrHistogram(1, _HIGHEST, _DIGITS)
+    ratios = new_histogram()
+    refusals = new_histogram()
     for arrival in arrivals:
         record = records[arrival.key]
         verdicts[record.verdict.value] += 1
@@ -109,15 +114,15 @@
             codes[record.code] += 1
         if record.verdict is Verdict.WHOLE:
             ideal = ideal_ms(arrival, slots_of[arrival.service], wire_ms)
-            ratios.record_value(round(record.response_ms / ideal * _RATIO_SCALE))
+            ratios.record_value(round(record.response_ms / ideal * RATIO_SCALE))
         if record.verdict is Verdict.REFUSED:
             refusals.record_value(round(record.response_ms * _MS_SCALE))
     return KindReport(
         requests=verdicts.total(),
         verdicts=dict(verdicts),
         codes=dict(codes),
-        ratios=_percentiles(ratios, _RATIO_SCALE),
-        refusals_ms=_percentiles(refusals, _MS_SCALE),
+        ratios=percentiles(ratios, RATIO_SCALE),
+        refusals_ms=percentiles(refusals, _MS_SCALE),
     )
 
 
@@ -189,13 +194,14 @@
 
 def late_percentiles(records: Iterable[LoadRecord]) -> Percentiles:
     """Return by how many milliseconds the generator sent late."""
-    late = HdrHistogram(1, _HIGHEST, _DIGITS)
+    late = new_histogram()
     for record in records:
         late.record_value(max(round(record.late_ms * _MS_SCALE), 0))
-    return _percentiles(late, _MS_SCALE)
+    return percentiles(late, _MS_SCALE)
 
 
-def _percentiles(histogram: HdrHistogram, scale: int) -> Percentiles:
+def percentiles(histogram: HdrHistogram, scale: int) -> Percentiles:
+    """Read a histogram whose values were multiplied by a scale."""
     if not histogram.total_count:
         return Percentiles(0, 0, 0, 0)
     return Percentiles(
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -1,6 +1,7 @@
 """Processes of a fleet: start, signals, exit codes, addresses."""
 
 import os
+import signal
 from pathlib import Path
 
 import msgspec
@@ -45,6 +46,16 @@
             assert not fleet.table.alive
             assert (await fleet.start_table()).address == first
 
+    async def test_crash_is_told_from_a_stop(self) -> None:
+        async with Fleet(DEMO) as fleet:
+            table = await fleet.start_table()
+            await table.stop()
+            assert not fleet.crashed
+            await fleet.start_table()
+            os.kill(table.pid, signal.SIGKILL)
+            await table.wait()
+            assert fleet.crashed == [TABLE]
+
     async def test_kill_and_stop_of_a_frozen_process(self) -> None:
         async with Fleet(DEMO) as fleet:
             table = await fleet.start_table()
--- a/tests/bench/test_load_report.py
+++ b/tests/bench/test_load_report.py
@@ -4,6 +4,7 @@
 from endivetally.load_answers import CheckedAnswer
 from endivetally.load_answers import Verdict
 from endivetally.load_answers import check_answer
+from endivetally.load_floor import floor_ratios
 from endivetally.load_mix import Arrival
 from endivetally.load_report import report_kind
 from endivetally.load_report import report_starts
@@ -120,3 +121,12 @@
     def test_whole_answer_without_a_start(self) -> None:
         records = by_key(record(SWEEP))
         assert report_starts([SWEEP], records, {'s/0': 1}).missing == 1
+
+
+class TestFloor:
+    def test_one_queue_over_all_slots(self) -> None:
+        waits = Arrival(0.1, 'sweeps', ServiceKind.JOB, 'w', [100])
+        floor = floor_ratios([SWEEP, waits], slots=2, wire_ms=0)
+        assert floor.p50 == pytest.approx(1)
+        floor = floor_ratios([SWEEP, waits], slots=1, wire_ms=0)
+        assert floor.highest == pytest.approx(3)
