--- a/libs/endivetally/src/endivetally/fleet_deployment.py
+++ b/libs/endivetally/src/endivetally/fleet_deployment.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Final
 
+from endivetally_config.settings import SchedulerName
 from endivetally_config.text import OperatorsText
 from endivetally_config.text import Service
 from endivetally_config.text import ServiceKind
@@ -58,7 +59,7 @@
     slots: int = SLOTS_PER_WORKER
     connections: int = CONNECTIONS_PER_WORKER
     memory_mb: int = MEMORY_PER_WORKER_MB
-    scheduler: str = 'credits'
+    scheduler: SchedulerName = 'credits'
 
     @property
     def token(self) -> str:
@@ -83,7 +84,7 @@
             if other != data_centre
         )
 
-    def with_scheduler(self, scheduler: str) -> 'Deployment':
+    def with_scheduler(self, scheduler: SchedulerName) -> 'Deployment':
         """Return the same deployment under another scheduler."""
         return replace(self, scheduler=scheduler)
 
