Let services share a pool of targets

Ruled out: a target that announces several services; credits would then belong to several queues at once. Conclusion: a service names its pool, the scheduler, credits and admission work by pool, estimates stay by service. tests/bench/test_load_mix: the share of slots of a service is now its share of the pool, and the pool's total is checked too.

--- a/libs/endivetally-agent/src/endivetally_agent/gate.py
+++ b/libs/endivetally-agent/src/endivetally_agent/gate.py
@@ -267,7 +267,7 @@
             return Refusal.CANCELLED
         if self.state is not GateState.OPEN or self._announcement is None:
             return Refusal(self.state.value)
-        if dispatch.service != self._announcement.service:
+        if dispatch.target_pool != self._announcement.service:
             return Refusal.WRONG_SERVICE
         if dispatch.deadline_ms == 0:
             return Refusal.DEADLINE
--- a/libs/endivetally-config/src/endivetally_config/text.py
+++ b/libs/endivetally-config/src/endivetally_config/text.py
@@ -44,7 +44,9 @@
     :param run_ms: declared run time of a task.
     :param memory_mb: declared memory of a task.
     :param deadline_ms: deadline of a request that names none.
-    :param priority: lower numbers are served first under overload, from 0.
+    :param priority: lower numbers are served first within a pool, from 0.
+    :param pool: name that the targets of the service announce; several services
+        may share one. By default the name of the service.
     """
 
     name: Name
@@ -55,6 +57,12 @@
     deadline_ms: Milliseconds = 10_000
     priority: Priority = 1
     objective: Objective = Objective()
+    pool: Name | None = None
+
+    @property
+    def target_pool(self) -> str:
+        """Name that the targets of the service announce."""
+        return self.pool or self.name
 
 
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -82,6 +90,11 @@
     teams: tuple[Team, ...]
     largest_worker_memory_mb: Megabytes = 32_768
 
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Names that targets may announce, in the order of the services."""
+        return tuple(dict.fromkeys(each.target_pool for each in self.services))
+
     def service(self, name: str) -> Service | None:
         """Return the service of that name, if there is one."""
         for service in self.services:
--- a/libs/endivetally-core/src/endivetally_core/joining.py
+++ b/libs/endivetally-core/src/endivetally_core/joining.py
@@ -39,6 +39,7 @@
 class AgentIdentity(msgspec.Struct, frozen=True):
     """An agent and the target it stands beside.
 
+    :param service: pool that the target announces.
     :param slots: tasks that the target runs at once.
     :param connections: connections that the target accepts.
     :param memory_mb: memory of the worker.
@@ -79,6 +80,8 @@
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a target posts to its agent's ``/announce`` at least every second.
 
+    :param service: pool that the target belongs to; one service's own name
+        unless the operators' text lets services share a pool.
     :param port: loopback port of the target's HTTP server.
     :param leaving: the target takes no new work.
     :param memory_mb: memory of the worker; ``used_memory_mb`` is in use.
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -47,7 +47,8 @@
 
     :param kind: ``idempotent``, ``non-idempotent`` or ``job``.
     :param deadline_ms: milliseconds left at sending.
-    :param waiting: tasks of the service that wait at the sender for a slot.
+    :param waiting: tasks of the pool that wait at the sender for a slot.
+    :param pool: pool of targets; empty when it is named as the service.
     """
 
     name: TaskName
@@ -56,6 +57,12 @@
     payload: bytes
     deadline_ms: Count
     waiting: Count = 0
+    pool: str = ''
+
+    @property
+    def target_pool(self) -> str:
+        """Name that a target must have announced to run the task."""
+        return self.pool or self.service
 
 
 class Outcome(Message, frozen=True, tag='outcome'):
--- a/libs/endivetally-core/src/endivetally_core/status.py
+++ b/libs/endivetally-core/src/endivetally_core/status.py
@@ -7,6 +7,7 @@
     """A target as one entry sees it.
 
     :param agent: name of the agent beside it.
+    :param service: pool that it announced.
     :param state: ``open``, ``leaving``, ``closed`` or ``ejected``.
     :param running: tasks at the target, by its last heartbeat.
     """
@@ -22,8 +23,9 @@
 
 
 class ServiceStatus(msgspec.Struct, frozen=True):
-    """Work of one service at one entry.
+    """Work of one pool of targets at one entry.
 
+    :param service: name of the pool.
     :param waiting: tasks that wait for a slot.
     :param running: tasks sent and not answered.
     """
--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -197,7 +197,8 @@
                 task.kind.value,
                 submission.payload,
                 left_ms,
-                self._scheduler.waiting(task.service),
+                self._scheduler.waiting(task.target_pool),
+                task.pool,
             ),
         )
 
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -305,17 +305,17 @@
     def _service_statuses(self) -> list[ServiceStatus]:
         return [
             ServiceStatus(
-                service.name,
-                self.scheduler.waiting(service.name),
-                self.scheduler.outstanding(service.name),
+                pool,
+                self.scheduler.waiting(pool),
+                self.scheduler.outstanding(pool),
             )
-            for service in self.keeper.text.services
+            for pool in self.keeper.text.pools
         ]
 
     def _target_statuses(self) -> list[TargetStatus]:
         views: list[AgentView] = []
-        for service in self.keeper.text.services:
-            views.extend(self.scheduler.agents(service.name))
+        for pool in self.keeper.text.pools:
+            views.extend(self.scheduler.agents(pool))
         return [_target_status(view) for view in views]
 
 
--- a/libs/endivetally-entry/src/endivetally_entry/executions.py
+++ b/libs/endivetally-entry/src/endivetally_entry/executions.py
@@ -191,6 +191,7 @@
             enqueued_at=asyncio.get_running_loop().time(),
             exclusive=request.exclusive,
             avoid=avoid,
+            pool=request.service.target_pool,
         )
         self._dispatcher.submit(task, request.tasks[number], self)
 
--- a/libs/endivetally-policy/src/endivetally_policy/admission.py
+++ b/libs/endivetally-policy/src/endivetally_policy/admission.py
@@ -85,11 +85,19 @@
             name: needed_services(name, self._services) for name in self._services
         }
         self._weights = {team.name: team.weight for team in text.teams}
-        for service in text.services:
-            self._estimates.declare(service.name, service.run_ms)
+        self._declare_run_times(text)
         limits = {team.name: float(team.tasks_per_s) for team in text.teams}
         self._quotas.set_limits(limits, now)
 
+    def _declare_run_times(self, text: OperatorsText) -> None:
+        pools: dict[str, list[int]] = {}
+        for service in text.services:
+            self._estimates.declare(service.name, service.run_ms)
+            pools.setdefault(service.target_pool, []).append(service.run_ms)
+        for pool, run_times_ms in pools.items():
+            if pool not in self._services:
+                self._estimates.declare(pool, sum(run_times_ms) / len(run_times_ms))
+
     def check(
         self,
         team: str,
@@ -141,15 +149,16 @@
             )
 
     def _check_targets(self, service: Service) -> None:
-        if self._scheduler.capacity(service.name) == 0:
+        if self._scheduler.capacity(service.target_pool) == 0:
             raise RequestError(ErrorKind.NO_TARGET, service.name)
 
     def _check_dependencies(self, service: Service, budget_s: float) -> None:
         for name in self._needed[service.name]:
-            if self._scheduler.capacity(name) == 0:
+            pool = self._services[name].target_pool
+            if self._scheduler.capacity(pool) == 0:
                 detail = f'{name} has no open target'
                 raise RequestError(ErrorKind.DEPENDENCY_UNAVAILABLE, detail)
-            wait_s = self._wait_s(name, self._scheduler.waiting(name))
+            wait_s = self._wait_s(pool, self._scheduler.waiting(pool))
             if wait_s > budget_s:
                 raise RequestError(
                     ErrorKind.DEPENDENCY_UNAVAILABLE,
@@ -171,13 +180,13 @@
                 f'the wait is {backlog.wait_s:.1f} s',
                 retry_after_s=_retry_after_s(backlog.excess_s),
             )
-        excess = self._scheduler.waiting(service.name) + tasks
+        excess = self._scheduler.waiting(service.target_pool) + tasks
         excess -= self._settings.max_waiting
         if excess > 0:
             raise RequestError(
                 ErrorKind.OVERLOADED,
                 'the queue is full',
-                retry_after_s=_retry_after_s(self._wait_s(service.name, excess)),
+                retry_after_s=_retry_after_s(self._wait_s(service.target_pool, excess)),
             )
 
     def _backlog(
@@ -188,7 +197,7 @@
         budget_s: float,
     ) -> _Backlog:
         ahead = self._scheduler.ahead(
-            service.name,
+            service.target_pool,
             service.priority,
             team,
             self._weights.get(team, 1),
@@ -198,16 +207,16 @@
         if service.kind is not ServiceKind.JOB:
             answer_s = min(budget_s, service.objective.response_ms / _MS_PER_S)
         run_s = min(self._estimates.of(service.name).p95_s, answer_s * _MAX_RUN_SHARE)
-        wait_s = self._wait_s(service.name, ahead + tasks)
+        wait_s = self._wait_s(service.target_pool, ahead + tasks)
         return _Backlog(wait_s, answer_s - run_s)
 
-    def _wait_s(self, service: str, tasks: int) -> float:
-        outstanding = self._scheduler.outstanding(service)
-        share = self._scheduler.capacity(service) / self._entries
-        slots = max(1, share, outstanding, self._scheduler.available(service))
+    def _wait_s(self, pool: str, tasks: int) -> float:
+        outstanding = self._scheduler.outstanding(pool)
+        share = self._scheduler.capacity(pool) / self._entries
+        slots = max(1, share, outstanding, self._scheduler.available(pool))
         if tasks + outstanding <= slots:
             return 0
-        return tasks * self._estimates.of(service).mean_s / slots
+        return tasks * self._estimates.of(pool).mean_s / slots
 
 
 def needed_services(name: str, services: dict[str, Service]) -> tuple[str, ...]:
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
@@ -54,7 +54,7 @@
 
     def submit(self, task: PendingTask, now: float) -> None:
         """Add a task that waits for a target."""
-        self._pool(task.service).queue.push(task)
+        self._pool(task.target_pool).queue.push(task)
 
     def withdraw(self, owner: str, sequence: int) -> list[PendingTask]:
         """Remove and return the waiting tasks of one request."""
@@ -130,6 +130,8 @@
         agent = self._agents.get(incarnation)
         if agent is not None:
             run_s = run_ms / _MS_PER_S
+            if status == 'done' and agent.identity.service != service:
+                self._estimates.observe(agent.identity.service, run_ms)
             self._pool(agent.identity.service).ended(agent, status, run_s, now)
 
     def bind(self, now: float) -> list[Binding]:
@@ -153,44 +155,44 @@
             expired.extend(pool.queue.pop_until_deadline(now))
         return expired
 
-    def waiting(self, service: str) -> int:
-        """Return the number of waiting tasks of a service."""
-        pool = self._pools.get(service)
-        return 0 if pool is None else len(pool.queue)
+    def waiting(self, pool: str) -> int:
+        """Return the number of waiting tasks of a pool."""
+        known = self._pools.get(pool)
+        return 0 if known is None else len(known.queue)
 
     def ahead(
         self,
-        service: str,
+        pool: str,
         priority: int,
         team: str,
         weight: int,
         count: int,
     ) -> int:
         """Return how many waiting tasks start before the last of new ones."""
-        pool = self._pools.get(service)
-        if pool is None:
+        known = self._pools.get(pool)
+        if known is None:
             return 0
-        return pool.queue.ahead(priority, team, weight, count)
+        return known.queue.ahead(priority, team, weight, count)
 
-    def outstanding(self, service: str) -> int:
+    def outstanding(self, pool: str) -> int:
         """Return the number of bound tasks that have not ended."""
-        pool = self._pools.get(service)
-        return 0 if pool is None else pool.outstanding
+        known = self._pools.get(pool)
+        return 0 if known is None else known.outstanding
 
-    def capacity(self, service: str) -> int:
+    def capacity(self, pool: str) -> int:
         """Return the slots of open agents that are not ejected."""
-        pool = self._pools.get(service)
-        return 0 if pool is None else pool.capacity
+        known = self._pools.get(pool)
+        return 0 if known is None else known.capacity
 
-    def available(self, service: str) -> int:
+    def available(self, pool: str) -> int:
         """Return the part of the capacity that other entries' tasks leave."""
-        pool = self._pools.get(service)
-        return 0 if pool is None else pool.available
+        known = self._pools.get(pool)
+        return 0 if known is None else known.available
 
-    def agents(self, service: str) -> list[AgentView]:
-        """Return what is known of the agents of a service."""
-        pool = self._pools.get(service)
-        return [] if pool is None else pool.views()
+    def agents(self, pool: str) -> list[AgentView]:
+        """Return what is known of the agents of a pool."""
+        known = self._pools.get(pool)
+        return [] if known is None else known.views()
 
     def next_wakeup(self, now: float) -> float | None:
         """Return when `demands` or `expired` may next have something."""
@@ -200,12 +202,12 @@
             times.append(pool.queue.first_deadline())
         return min((time for time in times if time is not None), default=None)
 
-    def _pool(self, service: str) -> ServicePool:
-        if service not in self._pools:
-            self._pools[service] = ServicePool(
-                service,
-                self._estimates.of(service),
+    def _pool(self, name: str) -> ServicePool:
+        if name not in self._pools:
+            self._pools[name] = ServicePool(
+                name,
+                self._estimates.of(name),
                 ServiceHealth(self._ejection_settings),
                 self._demand_settings,
             )
-        return self._pools[service]
+        return self._pools[name]
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
@@ -21,6 +21,7 @@
     :param enqueued_at: monotonic seconds.
     :param exclusive: bind only to admitted agents.
     :param avoid: incarnations of agents that refused or failed the task.
+    :param pool: pool of targets; empty when it is named as the service.
     """
 
     name: 'TaskName'
@@ -33,6 +34,12 @@
     enqueued_at: float
     exclusive: bool = False
     avoid: frozenset[str] = frozenset()
+    pool: str = ''
+
+    @property
+    def target_pool(self) -> str:
+        """Pool of targets that may run it."""
+        return self.pool or self.service
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,13 +147,13 @@
         """Remove and return tasks that cannot start before their deadline."""
 
     @abstractmethod
-    def waiting(self, service: str) -> int:
-        """Return the number of waiting tasks of a service."""
+    def waiting(self, pool: str) -> int:
+        """Return the number of waiting tasks of a pool."""
 
     @abstractmethod
     def ahead(
         self,
-        service: str,
+        pool: str,
         priority: int,
         team: str,
         weight: int,
@@ -159,20 +166,20 @@
         """
 
     @abstractmethod
-    def outstanding(self, service: str) -> int:
+    def outstanding(self, pool: str) -> int:
         """Return the number of bound tasks that have not ended."""
 
     @abstractmethod
-    def capacity(self, service: str) -> int:
+    def capacity(self, pool: str) -> int:
         """Return the slots of open agents that are not ejected."""
 
     @abstractmethod
-    def available(self, service: str) -> int:
+    def available(self, pool: str) -> int:
         """Return the part of the capacity that other entries' tasks leave."""
 
     @abstractmethod
-    def agents(self, service: str) -> list[AgentView]:
-        """Return what is known of the agents of a service."""
+    def agents(self, pool: str) -> list[AgentView]:
+        """Return what is known of the agents of a pool."""
 
     @abstractmethod
     def next_wakeup(self, now: float) -> float | None:
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
@@ -32,7 +32,7 @@
 
     def submit(self, task: PendingTask, now: float) -> None:
         """Add a task that waits for a target."""
-        self._queues.setdefault(task.service, FairQueue()).push(task)
+        self._queues.setdefault(task.target_pool, FairQueue()).push(task)
 
     def withdraw(self, owner: str, sequence: int) -> list[PendingTask]:
         """Remove and return the waiting tasks of one request."""
@@ -101,14 +101,14 @@
             expired.extend(queue.pop_until_deadline(now))
         return expired
 
-    def waiting(self, service: str) -> int:
-        """Return the number of waiting tasks of a service."""
-        queue = self._queues.get(service)
+    def waiting(self, pool: str) -> int:
+        """Return the number of waiting tasks of a pool."""
+        queue = self._queues.get(pool)
         return 0 if queue is None else len(queue)
 
     def ahead(
         self,
-        service: str,
+        pool: str,
         priority: int,
         team: str,
         weight: int,
@@ -117,21 +117,21 @@
         """Return 0: nothing is kept back."""
         return 0
 
-    def outstanding(self, service: str) -> int:
+    def outstanding(self, pool: str) -> int:
         """Return 0: outcomes are ignored."""
         return 0
 
-    def capacity(self, service: str) -> int:
+    def capacity(self, pool: str) -> int:
         """Return the slots of all agents."""
-        identities = self._agents.get(service, {}).values()
+        identities = self._agents.get(pool, {}).values()
         return sum(identity.slots for identity in identities)
 
-    def available(self, service: str) -> int:
+    def available(self, pool: str) -> int:
         """Return the slots of all agents."""
-        return self.capacity(service)
+        return self.capacity(pool)
 
-    def agents(self, service: str) -> list[AgentView]:
-        """Return the agents of a service."""
+    def agents(self, pool: str) -> list[AgentView]:
+        """Return the agents of a pool."""
         return [
             AgentView(
                 identity=identity,
@@ -143,7 +143,7 @@
                 ejected=False,
                 slow=False,
             )
-            for incarnation, identity in self._agents.get(service, {}).items()
+            for incarnation, identity in self._agents.get(pool, {}).items()
         ]
 
     def next_wakeup(self, now: float) -> float | None:
--- a/libs/endivetally/src/endivetally/bench_mix.py
+++ b/libs/endivetally/src/endivetally/bench_mix.py
@@ -1,7 +1,10 @@
 """The mixes of requests of the two deployments."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
+from endivetally_config.text import Service
 from endivetally_config.text import ServiceKind
 
 from endivetally.fleet_deployment import Deployment
@@ -9,11 +12,23 @@
 from endivetally.load_mix import RunTimes
 
 JOB_TASKS: Final = (2, 16)
+# Share of a pool's load that each service brings, in elevenths.
+LOAD_SHARES: Final[Mapping[str, int]] = MappingProxyType(
+    {
+        'lookups': 5,
+        'sweeps': 4,
+        'notes': 2,
+        'quota-checks': 2,
+        'logbooks': 7,
+        'quota-bookings': 2,
+    }
+)
+LOAD_SHARES_SUM: Final = 11
 LOOKUP_TAIL: Final = 0.02
 
 
 def request_kinds(deployment: Deployment) -> tuple[RequestKind, ...]:
-    """Return the mix of a deployment: each service loads its own workers."""
+    """Return the mix of a deployment, by the load share of each service."""
     kinds: list[RequestKind] = []
     for service in deployment.text.services:
         job = service.kind is ServiceKind.JOB
@@ -22,10 +37,15 @@
         kind = RequestKind(
             service=service.name,
             kind=service.kind,
-            slots=deployment.slots_of(service.name),
+            slots=_loaded_slots(deployment, service),
             run_times=RunTimes(tail_share=LOOKUP_TAIL) if lookup else RunTimes(),
             least_tasks=least,
             most_tasks=most,
         )
         kinds.append(kind)
     return tuple(kinds)
+
+
+def _loaded_slots(deployment: Deployment, service: Service) -> float:
+    share = LOAD_SHARES[service.name] / LOAD_SHARES_SUM
+    return deployment.slots_of(service.target_pool) * share
--- a/libs/endivetally/src/endivetally/fleet_deployment.py
+++ b/libs/endivetally/src/endivetally/fleet_deployment.py
@@ -66,15 +66,17 @@
         """Bearer token of the first team."""
         return self.text.teams[0].token
 
-    def slots_of(self, service: str) -> int:
-        """Return the slots of all workers of a service."""
-        workers = [worker for worker in self.workers if worker.service == service]
+    def slots_of(self, pool: str) -> int:
+        """Return the slots of all workers of a pool."""
+        workers = [worker for worker in self.workers if worker.service == pool]
         return self.slots * len(workers)
 
     def slots_by_service(self) -> dict[str, int]:
-        """Return the slots of each service of the text."""
-        names = [service.name for service in self.text.services]
-        return {name: self.slots_of(name) for name in names}
+        """Return the slots that each service of the text may use."""
+        return {
+            service.name: self.slots_of(service.target_pool)
+            for service in self.text.services
+        }
 
     def latency_rules(self, data_centre: str) -> tuple[ShapingRule, ...]:
         """Return the shaping rules of a process in a data centre."""
@@ -136,17 +138,27 @@
 )
 _LOVDATA_TEXT: Final = OperatorsText(
     services=(
-        Service('lookups', ServiceKind.IDEMPOTENT, priority=0),
-        Service('sweeps', ServiceKind.JOB, deadline_ms=30_000),
-        Service('notes', ServiceKind.NON_IDEMPOTENT, deadline_ms=15_000),
+        Service('lookups', ServiceKind.IDEMPOTENT, priority=0, pool='search-front'),
+        Service('sweeps', ServiceKind.JOB, deadline_ms=30_000, pool='search-front'),
+        Service(
+            'notes',
+            ServiceKind.NON_IDEMPOTENT,
+            deadline_ms=15_000,
+            pool='search-front',
+        ),
     ),
     teams=_LOVDATA_TEAMS,
 )
 _LOGBOOK_TEXT: Final = OperatorsText(
     services=(
-        Service('quota-checks', ServiceKind.IDEMPOTENT, priority=0),
-        Service('logbooks', ServiceKind.JOB, deadline_ms=30_000),
-        Service('quota-bookings', ServiceKind.NON_IDEMPOTENT, deadline_ms=15_000),
+        Service('quota-checks', ServiceKind.IDEMPOTENT, priority=0, pool='logbook'),
+        Service('logbooks', ServiceKind.JOB, deadline_ms=30_000, pool='logbook'),
+        Service(
+            'quota-bookings',
+            ServiceKind.NON_IDEMPOTENT,
+            deadline_ms=15_000,
+            pool='logbook',
+        ),
     ),
     teams=(
         Team('harbour', 'harbour-token', tasks_per_s=UNLIMITED_TASKS_PER_S),
@@ -159,7 +171,7 @@
     data_centres=_STAVANGER,
     latency_ms=1.5,
     entries=place_entries(3, _STAVANGER),
-    workers=place_workers((('lookups', 5), ('sweeps', 4), ('notes', 2)), _STAVANGER),
+    workers=place_workers((('search-front', 11),), _STAVANGER),
     text=_LOVDATA_TEXT,
 )
 LOGBOOK: Final = Deployment(
@@ -167,10 +179,7 @@
     data_centres=_ALFOLD,
     latency_ms=1,
     entries=place_entries(4, _ALFOLD),
-    workers=place_workers(
-        (('logbooks', 7), ('quota-checks', 2), ('quota-bookings', 2)),
-        _ALFOLD,
-    ),
+    workers=place_workers((('logbook', 11),), _ALFOLD),
     text=_LOGBOOK_TEXT,
 )
 DEMO: Final = Deployment(
@@ -179,7 +188,7 @@
     latency_ms=1,
     entries=place_entries(2, _zones('demo', 2)),
     workers=place_workers(
-        (('lookups', 2), ('sweeps', 1), ('notes', 1), ('logbooks', 1)),
+        (('search-front', 4), ('logbooks', 1)),
         _zones('demo', 2),
     ),
     text=OperatorsText(
--- a/libs/endivetally/src/endivetally/load_mix.py
+++ b/libs/endivetally/src/endivetally/load_mix.py
@@ -64,13 +64,13 @@
 class RequestKind:
     """One kind of request of a mix.
 
-    :param slots: slots of all workers that run the service.
+    :param slots: slots that the service occupies at load 1.
     :param least_tasks: tasks of the smallest job; 1 for single requests.
     """
 
     service: str
     kind: ServiceKind
-    slots: int
+    slots: float
     run_times: RunTimes = RunTimes()
     least_tasks: int = 1
     most_tasks: int = 1
--- a/tests/bench/test_load_mix.py
+++ b/tests/bench/test_load_mix.py
@@ -36,9 +36,11 @@
         run_ms = dict.fromkeys(LOVDATA.slots_by_service(), 0)
         for arrival in plan(1, load, 1000):
             run_ms[arrival.service] += sum(arrival.run_ms)
-        for service, slots in LOVDATA.slots_by_service().items():
-            share = run_ms[service] / (slots * 1_000_000)
+        for kind in request_kinds(LOVDATA):
+            share = run_ms[kind.service] / (kind.slots * 1_000_000)
             assert share == pytest.approx(load, rel=0.06)
+        total = sum(run_ms.values()) / (LOVDATA.slots_of('search-front') * 1_000_000)
+        assert total == pytest.approx(load, rel=0.06)
 
 
 class TestBursts:
