End cancelled links; take overdue credits back; expose metrics by the library

pynng swallows a cancellation that comes while its operation completes or its socket closes. The writer of a link then waited for ever and the process never ended: one of two runs of the agent's tests hung for 100 s at the end, with the writer shown as 'cancelling' and pending. Receiver and writer now raise it again; both new tests in tests/core fail without that (2 failed, 4 passed) and pass with it (6 passed).

A frozen entry would not answer a revocation; the ledger takes the credits after one or two heartbeats. Credits that come back unasked mean that the entry takes the agent for silent, so the agent's state goes before the next grant.

Rows of entries come from the table package, metrics from the core one.

Tests: agent, links and doctests 69 passed, three runs in a row.

--- a/libs/endivetally-agent/src/endivetally_agent/__main__.py
+++ b/libs/endivetally-agent/src/endivetally_agent/__main__.py
@@ -1,30 +1,36 @@
 """Runs an agent: ``python -m endivetally_agent SETTINGS.json``."""
 
 import asyncio
-import logging
 import sys
-from pathlib import Path
+from typing import Final
 
-import msgspec
+from endivetally_config.checks import load_settings
+from endivetally_config.exceptions import SettingsInvalid
 from endivetally_config.settings import AgentSettings
+from endivetally_core.logs import configure_logging
 
 from endivetally_agent.agent import run_agent
 
+EXIT_FAILURE: Final = 1
+EXIT_USAGE: Final = 2
+
 
 def main(arguments: list[str]) -> int:
     """Run an agent with the settings file that is the only argument."""
     if len(arguments) != 1:
         sys.stderr.write('usage: python -m endivetally_agent SETTINGS.json\n')
-        return 2
+        return EXIT_USAGE
+    try:
+        settings = load_settings(arguments[0], AgentSettings)
+    except SettingsInvalid as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_USAGE
+    configure_logging(settings.name, settings.log_level)
     try:
-        settings = msgspec.json.decode(
-            Path(arguments[0]).read_bytes(), type=AgentSettings
-        )
-    except (OSError, msgspec.DecodeError) as error:
-        sys.stderr.write(f'{arguments[0]}: {error}\n')
-        return 2
-    logging.basicConfig(level=settings.log_level)
-    asyncio.run(run_agent(settings))
+        asyncio.run(run_agent(settings))
+    except OSError as error:
+        sys.stderr.write(f'{settings.listen}: {error.strerror}\n')
+        return EXIT_FAILURE
     return 0
 
 
--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -19,7 +19,11 @@
 from endivetally_core.links import LinkCounters
 from endivetally_core.links import NngLink
 from endivetally_core.links import dial
+from endivetally_core.metrics import Exposition
+from endivetally_core.metrics import Metrics
+from endivetally_core.metrics import render_metrics
 from endivetally_core.shaping import RuleShaper
+from endivetally_table.http import HttpTable
 from endivetally_table.table import Table
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -27,12 +31,12 @@
 from endivetally_agent.counters import AgentCounters
 from endivetally_agent.gate import Gate
 from endivetally_agent.gate import GateState
-from endivetally_agent.metrics import render
+from endivetally_agent.metrics import add_counters
+from endivetally_agent.metrics import add_levels
 from endivetally_agent.peers import EntryConnector
 from endivetally_agent.peers import EntryPeers
 from endivetally_agent.records import StartRecords
 from endivetally_agent.registry import LinkRegistry
-from endivetally_agent.reports import AgentReport
 from endivetally_agent.runner import TargetRunner
 from endivetally_agent.server import AgentFacade
 from endivetally_agent.server import make_application
@@ -73,6 +77,10 @@
         self._gate = Gate(self._records)
         self._runner = TargetRunner()
         self._tasks = TaskManager(self._gate, self._runner, self._links, self._counters)
+        self._metrics = Metrics()
+        self._metrics.add_link_counters(self._link_counters)
+        add_counters(self._metrics, self._counters)
+        add_levels(self._metrics, self._gate, self._records, self._tasks)
         self._peers = EntryPeers(settings, self, table, self._counters)
 
     async def __aenter__(self) -> Self:
@@ -151,16 +159,9 @@
             return state.value
         return '' if self._links.entries else 'no_entry'
 
-    def metrics(self) -> str:
-        """Return the metrics in Prometheus text format."""
-        report = AgentReport(
-            self._gate,
-            self._records,
-            self._tasks,
-            self._counters,
-            self._link_counters,
-        )
-        return render(report.list_metrics())
+    def metrics(self) -> Exposition:
+        """Return the current metrics."""
+        return render_metrics(self._metrics)
 
     async def drain(self) -> None:
         """Refuse new work, finish what runs, deliver results, then return."""
@@ -213,6 +214,7 @@
             ranked = rank_by_rendezvous(self._settings.name, self._links.entries)
             for watcher in ranked[:WATCHERS]:
                 self._links.post(watcher, self._tasks.state)
+            self._tasks.send_orders(self._tasks.ledger.expire_revocations())
 
     async def _trim(self) -> None:
         while True:
@@ -227,15 +229,16 @@
 async def run_agent(settings: AgentSettings, table: Table | None = None) -> None:
     """Run an agent until SIGTERM or SIGINT, then drain it.
 
-    :param table: the platform's table service; none relies on the seeds.
+    :param table: the platform's table service, if not the one in the settings.
     """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
-    async with Agent(settings, table) as agent:
-        await stopped.wait()
-        await agent.drain()
+    with closing(table or HttpTable(settings.table)) as rows:
+        async with Agent(settings, rows) as agent:
+            await stopped.wait()
+            await agent.drain()
 
 
 async def _end_loop(loop: 'asyncio.Future[None]') -> None:
--- a/libs/endivetally-agent/src/endivetally_agent/counters.py
+++ b/libs/endivetally-agent/src/endivetally_agent/counters.py
@@ -1,18 +1,17 @@
 """Counters of an agent."""
 
-from collections import Counter
+from endivetally_core.metrics import LabelledCounter
 
 
 class AgentCounters:
     """What happened since the start of the process."""
 
     def __init__(self) -> None:
-        self.starts = 0
-        self.refusals: Counter[str] = Counter()
-        self.outcomes: Counter[str] = Counter()
-        self.duplicates = 0
-        self.cancellations = 0
-        self.joins = 0
-        self.join_failures = 0
-        self.table_failures = 0
-        self.credits: Counter[str] = Counter()
+        self.starts = LabelledCounter()
+        self.refusals = LabelledCounter()
+        self.outcomes = LabelledCounter()
+        self.duplicates = LabelledCounter()
+        self.cancellations = LabelledCounter()
+        self.joins = LabelledCounter()
+        self.table_failures = LabelledCounter()
+        self.credits = LabelledCounter()
--- a/libs/endivetally-agent/src/endivetally_agent/metrics.py
+++ b/libs/endivetally-agent/src/endivetally_agent/metrics.py
@@ -1,60 +1,97 @@
-"""Metrics of the agent in the Prometheus text format."""
-
-from collections.abc import Iterable
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
-
-
-@dataclass(frozen=True, slots=True)
-class Metric:
-    """One metric with its samples.
-
-    :param kind: ``counter`` or ``gauge``.
-    :param label: name of the only label, if samples have one.
-    :param samples: value for each value of the label; '' without a label.
-    """
-
-    name: str
-    kind: str
-    help_text: str
-    samples: Mapping[str, float] = field(default_factory=dict)
-    label: str = ''
-
-    def render(self) -> str:
-        """Return the metric's lines."""
-        lines = [
-            f'# HELP {self.name} {self.help_text}',
-            f'# TYPE {self.name} {self.kind}',
-        ]
-        lines.extend(
-            f'{self.name}{self._labels(label_value)} {sample}'
-            for label_value, sample in self.samples.items()
-        )
-        return '\n'.join(lines)
-
-    def _labels(self, label_value: str) -> str:
-        if not self.label:
-            return ''
-        return f'{{{self.label}="{label_value}"}}'
-
-
-def counter(name: str, help_text: str, count: float) -> Metric:
-    """Return a counter without labels."""
-    return Metric(name, 'counter', help_text, {'': count})
-
-
-def gauge(name: str, help_text: str, level: float) -> Metric:
-    """Return a gauge without labels."""
-    return Metric(name, 'gauge', help_text, {'': level})
-
-
-def render(metrics: Iterable[Metric]) -> str:
-    """Return the text of an answer to ``/metrics``.
-
-    >>> print(render([gauge('agent_slots', 'Open slots.', 8)]), end='')
-    # HELP agent_slots Open slots.
-    # TYPE agent_slots gauge
-    agent_slots 8
-    """
-    return ''.join(f'{metric.render()}\n' for metric in metrics)
+"""Metrics that an agent exposes."""
+
+import resource
+from collections.abc import Callable
+from typing import Final
+
+from endivetally_core.metrics import MetricName
+from endivetally_core.metrics import Metrics
+from endivetally_core.metrics import Sample
+
+from endivetally_agent.counters import AgentCounters
+from endivetally_agent.gate import Gate
+from endivetally_agent.records import StartRecords
+from endivetally_agent.tasks import TaskManager
+
+PREFIX: Final = 'endivetally_agent'
+MS_PER_S: Final = 1000
+
+
+def add_counters(metrics: Metrics, counters: AgentCounters) -> None:
+    """Expose the counters of an agent."""
+    named = (
+        (MetricName(f'{PREFIX}_starts_total', 'Tasks started.'), counters.starts),
+        (
+            MetricName(f'{PREFIX}_refusals_total', 'Dispatches refused.', ('reason',)),
+            counters.refusals,
+        ),
+        (
+            MetricName(f'{PREFIX}_outcomes_total', 'Ends of tasks.', ('status',)),
+            counters.outcomes,
+        ),
+        (
+            MetricName(f'{PREFIX}_duplicates_total', 'Dispatches seen before.'),
+            counters.duplicates,
+        ),
+        (
+            MetricName(f'{PREFIX}_cancellations_total', 'Tasks cancelled by entries.'),
+            counters.cancellations,
+        ),
+        (
+            MetricName(f'{PREFIX}_joins_total', 'Introductions.', ('result',)),
+            counters.joins,
+        ),
+        (
+            MetricName(f'{PREFIX}_table_failures_total', 'Failed reads of the table.'),
+            counters.table_failures,
+        ),
+        (
+            MetricName(
+                f'{PREFIX}_credits_total',
+                'Start credits granted outside of outcomes, or revoked.',
+                ('action',),
+            ),
+            counters.credits,
+        ),
+    )
+    for name, counter in named:
+        metrics.add_counter(name, counter.samples)
+    metrics.add_counter(
+        MetricName('process_cpu_seconds_total', 'Processor time.'),
+        lambda: [Sample(_cpu_seconds())],
+    )
+
+
+def add_levels(
+    metrics: Metrics, gate: Gate, records: StartRecords, tasks: TaskManager
+) -> None:
+    """Expose the current state of an agent."""
+    _add_level(metrics, 'slots', 'Slots open for work.', lambda: gate.slots)
+    _add_level(metrics, 'running', 'Tasks at the target.', lambda: gate.running)
+    _add_level(metrics, 'records', 'Tasks remembered.', lambda: records.bindings)
+    _add_level(metrics, 'result_bytes', 'Results held.', lambda: records.body_bytes)
+    _add_level(
+        metrics,
+        'run_seconds',
+        'Average run time of a task.',
+        lambda: tasks.usage.run_ms / MS_PER_S,
+    )
+    _add_level(
+        metrics,
+        'task_memory_mb',
+        'Learned memory of a task.',
+        lambda: tasks.usage.memory_mb,
+    )
+
+
+def _add_level(
+    metrics: Metrics, name: str, documentation: str, read: Callable[[], float]
+) -> None:
+    metrics.add_gauge(
+        MetricName(f'{PREFIX}_{name}', documentation), lambda: [Sample(read())]
+    )
+
+
+def _cpu_seconds() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -18,13 +18,13 @@
 from endivetally_core.joining import EntryIdentity
 from endivetally_core.joining import JoinAnswer
 from endivetally_core.joining import JoinRequest
+from endivetally_table.entries import scan_entries
 from endivetally_table.table import Table
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from endivetally_agent.counters import AgentCounters
-from endivetally_agent.rows import scan_entries
 
 logger: Final = logging.getLogger(__name__)
 
@@ -94,7 +94,6 @@
         self._table = table
         self._counters = counters
         self._known: dict[Address, asyncio.Task[None]] = {}
-        self._closing = False
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_JOINS)
 
     @property
@@ -114,8 +113,6 @@
 
     async def close(self) -> None:
         """End all tasks and release the connections."""
-        # A receiving pynng socket turns a cancellation into a closed link.
-        self._closing = True
         tasks = list(self._known.values())
         for task in tasks:
             task.cancel()
@@ -139,7 +136,7 @@
         try:
             rows = await scan_entries(table)
         except TableUnavailable:
-            self._counters.table_failures += 1
+            self._counters.table_failures.increment()
             return
         for row in rows:
             if row.state == 'live':
@@ -154,8 +151,6 @@
             if await self._join(address):
                 reached_s = time.monotonic()
                 backoff.reset()
-            if self._closing:
-                return
             await backoff.wait()
         logger.info('entry forgotten', extra={'address': str(address)})
         self._known.pop(address, None)
@@ -164,9 +159,9 @@
         try:
             answer = await self._introduce(address)
         except (HTTPClientError, OSError, msgspec.DecodeError):
-            self._counters.join_failures += 1
+            self._counters.joins.increment('failed')
             return False
-        self._counters.joins += 1
+        self._counters.joins.increment('answered')
         for known in answer.entries:
             self.learn(known.address)
         for fenced in answer.fenced:
--- a/libs/endivetally-agent/src/endivetally_agent/server.py
+++ b/libs/endivetally-agent/src/endivetally_agent/server.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from endivetally_core.joining import Announcement
+from endivetally_core.metrics import Exposition
 from endivetally_core.shaping import RuleShaper
 from endivetally_core.shaping import ShapingRule
 from tornado.web import Application
@@ -25,8 +26,8 @@
         """Return why the agent can't take work, or ''."""
 
     @abstractmethod
-    def metrics(self) -> str:
-        """Return the metrics in Prometheus text format."""
+    def metrics(self) -> Exposition:
+        """Return the current metrics."""
 
 
 class _AgentHandler(RequestHandler):
@@ -60,8 +61,9 @@
 
     def get(self) -> None:
         """Answer with the current metrics."""
-        self.set_header('Content-Type', 'text/plain; version=0.0.4; charset=utf-8')
-        self.finish(self.agent.metrics())
+        exposition = self.agent.metrics()
+        self.set_header('Content-Type', exposition.content_type)
+        self.finish(exposition.body)
 
 
 class HealthHandler(_AgentHandler):
--- a/libs/endivetally-agent/src/endivetally_agent/session.py
+++ b/libs/endivetally-agent/src/endivetally_agent/session.py
@@ -81,7 +81,6 @@
                 self._handle_frame(frame)
 
     def _handle_frame(self, frame: Frame) -> None:
-        self._links.heard(self._entry)
         for message in frame.messages:
             self._handle(message)
         if self._texts.wants(frame.version):
@@ -106,6 +105,10 @@
 
     @_handle.register
     def _handle_credit_return(self, message: CreditReturn) -> None:
+        if not self._tasks.ledger.awaits_return(self._entry):
+            # The entry takes this agent for silent; it must know better before
+            # it can use what it is granted next.
+            self._link.post(self._tasks.state)
         orders = self._tasks.ledger.give_back(self._entry, message.credits)
         self._tasks.send_orders(orders)
 
@@ -124,7 +127,7 @@
 
     @_handle.register
     def _handle_entry_state(self, message: EntryState) -> None:
-        self._links.heard(self._entry, heartbeat=True)
+        logger.debug('entry state', extra={'state': message.state})
 
     @_handle.register
     def _handle_text_request(self, message: TextRequest) -> None:
--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -28,13 +28,15 @@
     :param credits: granted and not yet used or given back.
     :param waiting: tasks that wait there, as it said last, less later grants.
     :param revoking: credits that it was asked to give back.
-    :param void: credits among these that the ledger took without waiting.
+    :param void: credits that the ledger took without waiting for an answer.
+    :param overdue: the revocation was already unanswered one period ago.
     """
 
     credits: int = 0
     waiting: int = 0
     revoking: int = 0
     void: int = 0
+    overdue: bool = False
 
     @property
     def idle(self) -> int:
@@ -122,6 +124,22 @@
         coming = sum(other.revoking for other in self._holdings.values())
         return orders + self._revoke_idle(holding.waiting - coming, entry, 0)
 
+    def awaits_return(self, entry: str) -> bool:
+        """Whether the entry was asked to give credits back."""
+        holding = self._holdings.get(entry, Holding())
+        return holding.revoking > 0 or holding.void > 0
+
+    def expire_revocations(self) -> list[CreditOrder]:
+        """Take credits whose revocation stays unanswered; called periodically."""
+        for holding in self._holdings.values():
+            if holding.overdue:
+                taken = min(holding.revoking, holding.credits)
+                holding.credits -= taken
+                holding.void += taken
+                holding.revoking = 0
+            holding.overdue = holding.revoking > 0
+        return self._share_free()
+
     def give_back(self, entry: str, credits_back: int) -> list[CreditOrder]:
         """Handle an entry's answer to a revocation."""
         holding = self._holdings.get(entry)
@@ -131,6 +149,7 @@
         holding.credits = max(holding.credits - counted, 0)
         holding.revoking = 0
         holding.void = 0
+        holding.overdue = False
         return self._share_free()
 
     def _fair_share(self) -> int:
--- a/libs/endivetally-agent/src/endivetally_agent/tasks.py
+++ b/libs/endivetally-agent/src/endivetally_agent/tasks.py
@@ -78,10 +78,10 @@
         """Send credits and revocations."""
         for order in orders:
             if order.grant:
-                self._counters.credits['granted'] += order.grant
+                self._counters.credits.increment('granted', amount=order.grant)
                 self._links.post(order.entry, Grant(order.grant))
             if order.revoke:
-                self._counters.credits['revoked'] += order.revoke
+                self._counters.credits.increment('revoked', amount=order.revoke)
                 self._links.post(order.entry, Revoke(order.revoke))
 
     def dispatch(self, entry: str, dispatch: Dispatch) -> None:
@@ -100,7 +100,7 @@
 
     def cancel(self, cancel: Cancel) -> None:
         """Stop bindings of a request, or let them never start."""
-        self._counters.cancellations += len(cancel.numbers)
+        self._counters.cancellations.increment(amount=len(cancel.numbers))
         for number in cancel.numbers:
             name = self._gate.cancel(cancel.owner, cancel.sequence, number)
             if name is not None:
@@ -142,7 +142,7 @@
         task.add_done_callback(self._jobs.discard)
 
     def _start(self, entry: str, dispatch: Dispatch) -> None:
-        self._counters.starts += 1
+        self._counters.starts.increment()
         self.send_orders(self.ledger.start(entry, dispatch.waiting))
         self._spawn(self._run(entry, dispatch))
 
@@ -150,7 +150,7 @@
         outcome = await self._runner.run(dispatch)
         linked = dispatch.name.owner in self._links
         self._gate.finish(outcome, settled=linked and dispatch.kind == IDEMPOTENT)
-        self._counters.outcomes[outcome.status] += 1
+        self._counters.outcomes.increment(outcome.status)
         if outcome.status == 'refused':
             self._gate.close()
             self.refresh()
@@ -170,13 +170,13 @@
         self._links.post(entry, outcome)
 
     def _refuse(self, entry: str, dispatch: Dispatch, reason: Refusal) -> None:
-        self._counters.refusals[reason.value] += 1
+        self._counters.refusals.increment(reason.value)
         receiver = self.ledger.refuse(entry, dispatch.waiting)
         refused = Outcome(dispatch.name, 'refused', reason.value)
         self._report(entry, refused, receiver)
 
     def _answer_repeated(self, entry: str, name: TaskName, decision: Decision) -> None:
-        self._counters.duplicates += 1
+        self._counters.duplicates.increment()
         if decision.outcome is not None:
             self._links.post(entry, decision.outcome)
         elif decision.verdict is Verdict.EXPIRED:
--- a/libs/endivetally-core/src/endivetally_core/links.py
+++ b/libs/endivetally-core/src/endivetally_core/links.py
@@ -133,7 +133,9 @@
             encoded = await self._socket.arecv()
         except pynng.NNGException as error:
             self.close()
+            _raise_if_cancelled()
             raise LinkClosed(self.peer) from error
+        _raise_if_cancelled()
         return decode_frame(encoded)
 
     async def flush(self) -> None:
@@ -155,13 +157,14 @@
             self._loop.call_soon_threadsafe(self.close)
 
     async def _write_frames(self) -> None:
-        while True:
+        while not self._closed:
             await self._ready.wait()
             batch = self._outbox[:MAX_MESSAGES_PER_FRAME]
             del self._outbox[: len(batch)]
             if not self._outbox:
                 self._ready.clear()
             await self._send(encode_frame(Frame(self._version(), batch)))
+            _raise_if_cancelled()
             if not self._outbox:
                 self._flushed.set()
 
@@ -187,6 +190,13 @@
                 self._socket.send(encoded, block=False)
 
 
+def _raise_if_cancelled() -> None:
+    # pynng swallows a cancellation that comes while its operation completes.
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 class LinkListener:
     """A pair socket that waits for one peer on a port of its own.
 
--- a/tests/core/test_links.py
+++ b/tests/core/test_links.py
@@ -60,6 +60,28 @@
         far.close()
 
 
+class TestCancellation:
+    async def test_a_receiver_of_a_closing_link_ends_as_cancelled(self):
+        near, far = await _connected_links()
+        receiver = asyncio.ensure_future(near.receive())
+        await asyncio.sleep(0.05)
+        near.close()
+        receiver.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await receiver
+        far.close()
+
+    async def test_a_writer_that_is_cancelled_while_it_sends_ends(self):
+        near, far = await _connected_links()
+        near.post(Grant(1))
+        await asyncio.sleep(0)
+        near._writer.cancel()
+        await asyncio.wait([near._writer], timeout=5)
+        assert near._writer.done()
+        near.close()
+        far.close()
+
+
 class TestDial:
     async def test_refused(self):
         listener = LinkListener('127.0.0.1')
