--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -124,6 +125,7 @@
         if address not in self._known:
             task = asyncio.get_running_loop().create_task(self._keep(address))
             self._known[address] = task
+            task.add_done_callback(functools.partial(self._forget, address))
 
     async def _search(self) -> None:
         if self._table is not None:
@@ -135,7 +137,7 @@
     async def _scan(self, table: Table) -> None:
         try:
             rows = await scan_entries(table)
-        except TableUnavailable:
+        except (TableUnavailable, msgspec.DecodeError):
             self._counters.table_failures.increment()
             return
         for row in rows:
@@ -152,13 +154,16 @@
                 reached_s = time.monotonic()
                 backoff.reset()
             await backoff.wait()
-        logger.info('entry forgotten', extra={'address': str(address)})
+
+    def _forget(self, address: Address, task: asyncio.Task[None]) -> None:
         self._known.pop(address, None)
+        error = None if task.cancelled() else task.exception()
+        logger.info('entry forgotten', extra={'address': str(address)}, exc_info=error)
 
     async def _join(self, address: Address) -> bool:
         try:
             answer = await self._introduce(address)
-        except (HTTPClientError, OSError, msgspec.DecodeError):
+        except (HTTPClientError, OSError, ValueError, msgspec.DecodeError):
             self._counters.joins.increment('failed')
             return False
         self._counters.joins.increment('answered')
--- a/libs/endivetally-agent/src/endivetally_agent/runner.py
+++ b/libs/endivetally-agent/src/endivetally_agent/runner.py
@@ -83,7 +83,7 @@
         except HTTPTimeoutError:
             await self.cancel(name)
             return Outcome(name, 'unknown', 'deadline', run_ms=_elapsed_ms(started_s))
-        except (HTTPClientError, OSError):
+        except (HTTPClientError, OSError, ValueError):
             return Outcome(
                 name, 'unknown', 'connection_lost', run_ms=_elapsed_ms(started_s)
             )
--- a/tests/agent/fake_entry.py
+++ b/tests/agent/fake_entry.py
@@ -34,6 +34,7 @@
     def __init__(self, name='entry-1', fenced=()):
         self.name = name
         self.fenced = list(fenced)
+        self.known = []
         self.version = 0
         self.joins = []
         self.messages = []
@@ -67,7 +68,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         answer = JoinAnswer(
-            listener.address, self.identity, [self.identity], self.fenced
+            listener.address, self.identity, [self.identity, *self.known], self.fenced
         )
         return msgspec.json.encode(answer)
 
