--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -165,7 +165,7 @@
     """Entry to entry and entry to agent: heartbeat.
 
     :param state: ``open`` or ``leaving``.
-    :param usage: tasks asked for per team and second.
+    :param usage: task starts a second that callers of each team asked for.
     :param map_version: version of the shard map that the sender knows.
     """
 
