--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -24,6 +24,7 @@
         'report': 'endivetally.cli_report',
         'demo': 'endivetally.demo',
         'bench': 'endivetally.bench',
+        'scenario': 'endivetally.scenario',
     },
 )
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/__init__.py
@@ -0,0 +1,15 @@
+"""Scripted failures of a small fleet, and what must hold through them."""
+
+from endivetally.scenarios.language import Scenario
+from endivetally.scenarios.language import ScenarioInvalid
+from endivetally.scenarios.language import parse_scenario
+from endivetally.scenarios.report import ScenarioReport
+from endivetally.scenarios.run import run_scenario
+
+__all__ = (
+    'Scenario',
+    'ScenarioInvalid',
+    'ScenarioReport',
+    'parse_scenario',
+    'run_scenario',
+)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/callers.py
@@ -0,0 +1,227 @@
+"""Callers of a scenario: what they sent and what they received."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+from typing import Final
+
+from endivetally_config.text import ServiceKind
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPResponse
+
+from endivetally.fleet import Fleet
+from endivetally.load_answers import CheckedAnswer
+from endivetally.load_answers import Verdict
+from endivetally.load_answers import check_answer
+from endivetally.load_answers import request_body
+from endivetally.load_answers import request_path
+from endivetally.load_mix import Arrival
+
+MAX_OPEN_REQUESTS: Final = 5000
+PATIENCE_S: Final = 45
+CONNECT_TIMEOUT_S: Final = 5
+HEALTH_TIMEOUT_S: Final = 0.5
+RESUBMISSION_PAUSE_S: Final = 0.1
+
+
+@dataclass(slots=True)
+class Submission:
+    """One request of one caller, and its answer once it has come.
+
+    :param label: name in the scenario, shared by requests sent together.
+    :param sent_s: wall time.
+    :param broken: connections that ended without an answer.
+    """
+
+    label: str
+    arrival: Arrival
+    sent_s: float
+    answered_s: float = 0
+    answer: CheckedAnswer | None = None
+    broken: int = 0
+
+    @property
+    def key(self) -> str:
+        """Idempotency key."""
+        return self.arrival.key
+
+    @property
+    def verdict(self) -> Verdict:
+        """How it ended; lost while no answer has come."""
+        return Verdict.LOST if self.answer is None else self.answer.verdict
+
+    def end(self, answer: CheckedAnswer) -> None:
+        """Store the answer and its time."""
+        self.answer = answer
+        self.answered_s = time.time()
+
+
+class Callers:
+    """Sends requests and keeps what was answered.
+
+    :param seed: seed of the choices of the balancer.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.submissions: list[Submission] = []
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._announced: Counter[str] = Counter()
+        self._http = AsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_OPEN_REQUESTS,
+        )
+
+    @staticmethod
+    def key_of(task_id: str) -> str:
+        """Return the key of a task's request.
+
+        >>> Callers.key_of('k1/3')
+        'k1'
+        """
+        return task_id.rpartition('/')[0]
+
+    def close(self) -> None:
+        """Give up what is not answered."""
+        for task in self._tasks:
+            task.cancel()
+        self._http.close()
+
+    def labelled(self, label: str) -> list[Submission]:
+        """Return the submissions under a label, or of one key."""
+        return [each for each in self.submissions if label in {each.label, each.key}]
+
+    def keys_of(self, label: str) -> set[str]:
+        """Return the keys of the submissions under a label."""
+        return {submission.key for submission in self.labelled(label)}
+
+    def all_answered(self, label: str) -> bool:
+        """Return whether every request of a label was sent and has ended."""
+        found = self.labelled(label)
+        complete = len(found) >= self._announced[label]
+        return complete and all(each.answer is not None for each in found)
+
+    def submit(self, label: str, arrival: Arrival, entry: str) -> None:
+        """Send a request to one entry; nothing is sent again."""
+        submission = Submission(label, arrival, time.time())
+        self.submissions.append(submission)
+        self._spawn(self._submit(submission, self._fleet.process(entry).url))
+
+    async def send_load(
+        self,
+        label: str,
+        arrivals: list[Arrival],
+    ) -> None:
+        """Send requests at their times through a balancer.
+
+        A caller whose connection ends without an answer submits again.
+        """
+        started_s = time.monotonic()
+        for arrival in arrivals:
+            await asyncio.sleep(started_s + arrival.at_s - time.monotonic())
+            submission = Submission(label, arrival, time.time())
+            self.submissions.append(submission)
+            self._spawn(self._call_balanced(submission))
+
+    def start_load(self, label: str, arrivals: list[Arrival]) -> None:
+        """Send a load in the background."""
+        self._announced[label] += len(arrivals)
+        self._spawn(self.send_load(label, arrivals))
+
+    async def cancel(self, arrival: Arrival, entry: str) -> int:
+        """Ask an entry to cancel a request; return the status of its answer."""
+        url = f'{self._fleet.process(entry).url}/v1/services/{arrival.service}/jobs'
+        request = HTTPRequest(
+            f'{url}/{arrival.key}',
+            method='DELETE',
+            headers=self._headers(arrival),
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        return response.code
+
+    async def wait(self) -> None:
+        """Wait until every caller has an answer or has given up."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _submit(self, submission: Submission, url: str) -> None:
+        answer = await self._fetch(submission, url)
+        submission.end(answer or CheckedAnswer(Verdict.LOST, 'connection_ended'))
+
+    async def _call_balanced(self, submission: Submission) -> None:
+        give_up = time.monotonic() + PATIENCE_S
+        while time.monotonic() < give_up:
+            url = await self._pick_entry()
+            answer = await self._fetch(submission, url) if url else None
+            if answer is not None:
+                submission.end(answer)
+                return
+            await asyncio.sleep(RESUBMISSION_PAUSE_S)
+        submission.end(CheckedAnswer(Verdict.LOST, 'no_answer'))
+
+    async def _pick_entry(self) -> str:
+        """Return the URL of an entry that is in rotation, or nothing."""
+        entries = self._fleet.entries
+        self._random.shuffle(entries)
+        for entry in entries:
+            if await self._is_healthy(entry.url):
+                return entry.url
+        return ''
+
+    async def _is_healthy(self, url: str) -> bool:
+        request = HTTPRequest(
+            f'{url}/healthz',
+            connect_timeout=HEALTH_TIMEOUT_S,
+            request_timeout=HEALTH_TIMEOUT_S,
+        )
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except (OSError, HTTPClientError):
+            return False
+        return response.code == 200
+
+    async def _fetch(self, submission: Submission, url: str) -> CheckedAnswer | None:
+        arrival = submission.arrival
+        try:
+            response = await self._post(arrival, url)
+        except ConnectionRefusedError:
+            return None
+        except (OSError, HTTPClientError):
+            submission.broken += 1
+            return None
+        return check_answer(arrival, response.code, response.body)
+
+    async def _post(self, arrival: Arrival, url: str) -> HTTPResponse:
+        request = HTTPRequest(
+            url + request_path(arrival),
+            method='POST',
+            body=request_body(arrival),
+            headers=self._headers(arrival),
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=PATIENCE_S,
+        )
+        return await self._http.fetch(request, raise_error=False)
+
+    def _headers(self, arrival: Arrival) -> dict[str, str]:
+        return {
+            'Authorization': f'Bearer {self._fleet.deployment.token}',
+            'Idempotency-Key': arrival.key,
+            'Content-Type': 'application/json',
+        }
+
+
+def exclusive(arrival: Arrival) -> bool:
+    """Return whether the tasks of a request may start at most once."""
+    return arrival.kind is not ServiceKind.IDEMPOTENT
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/deployment.py
@@ -0,0 +1,49 @@
+"""Deployments of scenarios: small, with three services of one kind each."""
+
+from typing import Final
+
+from endivetally_config.text import OperatorsText
+from endivetally_config.text import Service
+from endivetally_config.text import ServiceKind
+from endivetally_config.text import Team
+
+from endivetally.fleet_deployment import UNLIMITED_TASKS_PER_S
+from endivetally.fleet_deployment import Deployment
+from endivetally.fleet_deployment import place_entries
+from endivetally.fleet_deployment import place_workers
+
+LATENCY_MS: Final = 1
+DEADLINE_MS: Final = 20_000
+TEXT: Final = OperatorsText(
+    services=(
+        Service(
+            'lookups',
+            ServiceKind.IDEMPOTENT,
+            priority=0,
+            deadline_ms=DEADLINE_MS,
+        ),
+        Service('sweeps', ServiceKind.JOB, deadline_ms=DEADLINE_MS),
+        Service('notes', ServiceKind.NON_IDEMPOTENT, deadline_ms=DEADLINE_MS),
+    ),
+    teams=(Team('clerks', 'clerks-token', tasks_per_s=UNLIMITED_TASKS_PER_S),),
+)
+
+
+def make_deployment(
+    entries: int,
+    data_centres: int,
+    workers_of: tuple[tuple[str, int], ...],
+) -> Deployment:
+    """Return a deployment.
+
+    :param workers_of: names of services and how many workers each has.
+    """
+    names = tuple(f'dc-{number + 1}' for number in range(data_centres))
+    return Deployment(
+        name='scenario',
+        data_centres=names,
+        latency_ms=LATENCY_MS,
+        entries=place_entries(entries, names),
+        workers=place_workers(workers_of, names),
+        text=TEXT,
+    )
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/judgement.py
@@ -0,0 +1,117 @@
+"""What must hold at the end of every scenario, whatever it expects."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+import msgspec
+
+from endivetally.load_answers import Verdict
+from endivetally.scenarios.callers import Submission
+from endivetally.scenarios.callers import exclusive
+from endivetally.scenarios.stage import Stage
+from endivetally.scenarios.starts import Start
+from endivetally.scenarios.texts import reverted
+
+
+class Totals(msgspec.Struct, frozen=True):
+    """Counts over a scenario.
+
+    :param starts: starts that targets recorded.
+    :param doubled: tasks that may start at most once and started more often.
+    :param partial: answers with status 200 that were not whole, or not the
+        caller's own.
+    :param lost: keys of which no submission was ever answered.
+    :param interrupted: requests whose connection ended without an answer, or
+        whose answer was neither whole nor a refusal.
+    """
+
+    starts: int
+    doubled: int
+    partial: int
+    lost: int
+    interrupted: int
+
+
+def judge_totals(stage: Stage) -> Totals:
+    """Return the totals so far."""
+    starts = stage.starts.count_by_id()
+    submissions = stage.callers.submissions
+    ended = [each for each in submissions if each.answer is not None]
+    return Totals(
+        starts=starts.total(),
+        doubled=_count_doubled(submissions, starts),
+        partial=sum(each.verdict is Verdict.PARTIAL for each in ended),
+        lost=len(_lost_keys(ended)),
+        interrupted=sum(map(_interrupted, ended)),
+    )
+
+
+def judge_invariants(stage: Stage) -> list[str]:
+    """Return what does not hold, a sentence each."""
+    totals = judge_totals(stage)
+    problems: list[str] = []
+    if totals.doubled:
+        problems.append(f'{totals.doubled} tasks started more than once')
+    if totals.partial:
+        problems.append(f'{totals.partial} answers were partial or not the own one')
+    problems += [f'{key} ran after a refusal' for key in _ran_after_refusal(stage)]
+    problems += [f'{name} went back' for name in reverted(stage.operators.sightings)]
+    problems += [f'{name} did not stop cleanly' for name in stage.unclean_stops]
+    return problems
+
+
+def _count_doubled(submissions: list[Submission], starts: Counter[str]) -> int:
+    keys = {each.key for each in submissions if exclusive(each.arrival)}
+    return sum(
+        count > 1 and task_id.rpartition('/')[0] in keys
+        for task_id, count in starts.items()
+    )
+
+
+def _lost_keys(ended: list[Submission]) -> set[str]:
+    keys = {each.key for each in ended}
+    return keys - {each.key for each in ended if each.verdict is not Verdict.LOST}
+
+
+def _interrupted(submission: Submission) -> bool:
+    answered = submission.verdict in {Verdict.WHOLE, Verdict.REFUSED}
+    return bool(submission.broken) or not answered
+
+
+def _ran_after_refusal(stage: Stage) -> Iterator[str]:
+    """Yield keys that were refused as not run and had run, or ran later.
+
+    A key may run after a refusal for another submission that was open then or
+    came later.
+    """
+    starts = stage.starts.read()
+    for refused in stage.callers.submissions:
+        if refused.verdict is Verdict.REFUSED:
+            times = _times_of(starts, refused.key)
+            if _contradicts(refused, stage.callers.labelled(refused.key), times):
+                yield refused.key
+
+
+def _contradicts(
+    refused: Submission,
+    submissions: list[Submission],
+    times: list[float],
+) -> bool:
+    if any(started_s <= refused.answered_s for started_s in times):
+        return not any(
+            other is not refused
+            and other.sent_s < refused.answered_s
+            and not exclusive(other.arrival)
+            for other in submissions
+        )
+    later = [
+        other
+        for other in submissions
+        if other is not refused
+        and (other.answer is None or other.answered_s > refused.answered_s)
+    ]
+    return bool(times) and not later
+
+
+def _times_of(starts: list[Start], key: str) -> list[float]:
+    return [each.time_s for each in starts if each.id.rpartition('/')[0] == key]
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/network.py
@@ -0,0 +1,77 @@
+"""Faults between processes: rules that shape the frames of their links."""
+
+import asyncio
+from collections.abc import Iterable
+from itertools import product
+
+import msgspec
+from endivetally_core.shaping import ShapingRule
+
+from endivetally.fleet import Fleet
+from endivetally.scenarios.places import Places
+
+
+class Network:
+    """Rules in force, by process and peer.
+
+    :param places: tells which processes have links.
+    """
+
+    def __init__(self, fleet: Fleet, places: Places) -> None:
+        self._fleet = fleet
+        self._places = places
+        self._rules: dict[str, dict[str, ShapingRule]] = {}
+
+    async def change(
+        self,
+        left: Iterable[str],
+        right: Iterable[str],
+        **changes: float | bool,
+    ) -> None:
+        """Change the rules between two groups, in both directions."""
+        changed: set[str] = set()
+        for one, other in product(self._linked(left), self._linked(right)):
+            self._change_rule(one, other, changes)
+            self._change_rule(other, one, changes)
+            changed |= {one, other}
+        await self._apply(changed)
+
+    async def mend(self, left: Iterable[str], right: Iterable[str]) -> None:
+        """Take back every rule between two groups."""
+        changed: set[str] = set()
+        for one, other in product(self._linked(left), self._linked(right)):
+            self._rules.get(one, {}).pop(other, None)
+            self._rules.get(other, {}).pop(one, None)
+            changed |= {one, other}
+        await self._apply(changed)
+
+    async def restore(self, process: str) -> None:
+        """Apply the rules of a process again, after it was started anew."""
+        if not process.startswith('target-'):
+            await self._apply({process})
+
+    def _linked(self, names: Iterable[str]) -> list[str]:
+        return [name for name in names if not name.startswith('target-')]
+
+    def _change_rule(
+        self,
+        process: str,
+        peer: str,
+        changes: dict[str, float | bool],
+    ) -> None:
+        rules = self._rules.setdefault(process, {})
+        rule = rules.get(peer, ShapingRule(peer))
+        rules[peer] = msgspec.structs.replace(rule, **changes)
+
+    async def _apply(self, processes: set[str]) -> None:
+        await asyncio.gather(*map(self._apply_one, sorted(processes)))
+
+    async def _apply_one(self, name: str) -> None:
+        data_centre = self._places.data_centre_of(name)
+        rules = (
+            *self._rules.get(name, {}).values(),
+            *self._fleet.deployment.latency_rules(data_centre),
+        )
+        process = self._fleet.process(name)
+        if process.alive:
+            await self._fleet.client.shape(process.url, rules)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/scenarios/places.py
@@ -0,0 +1,60 @@
+"""Names of the processes of a deployment, and groups of them."""
+
+from collections.abc import Iterator
+
+from endivetally.fleet_deployment import Deployment
+from endivetally.fleet_deployment import Worker
+from endivetally.scenarios.steps import StepFailed
+
+
+class Places:
+    """Looks up processes by name, rack, data centre and role.
+
+    :param deployment: what was started.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._given: dict[str, list[str]] = {}
+
+    def give(self, name: str, processes: list[str]) -> None:
+        """Give processes a name of their own."""
+        self._given[name] = processes
+
+    def named(self, name: str) -> list[str]:
+        """Return the processes behind a name.
+
+        :raises StepFailed: when there are none.
+        """
+        if name in self._given:
+            return self._given[name]
+        found = [
+            process
+            for process, groups in self._groups()
+            if name == process or name in groups
+        ]
+        if not found:
+            raise StepFailed(f'{name} names no process')
+        return found
+
+    def of_role(self, role: str) -> list[str]:
+        """Return all processes of a role."""
+        names = [process for process, _groups in self._groups()]
+        return [name for name in names if name.startswith(f'{role}-')]
+
+    def worker_of_target(self, target: str) -> Worker:
+        """Return the worker that runs a target."""
+        workers = self._deployment.workers
+        return next(worker for worker in workers if worker.target == target)
+
+    def data_centre_of(self, process: str) -> str:
+        """Return the data centre in which a process stands."""
+        return dict(self._groups())[process][0]
+
+    def _groups(self) -> Iterator[tuple[str, tuple[str, ...]]]:
+        for place in self._deployment.entries:
+            yield place.name, (place.data_centre,)
+        for worker in self._deployment.workers:
+            groups = (worker.data_centre, worker.rack)
+            yield worker.agent, groups
+            yield worker.target, groups
