--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -26,7 +26,7 @@
 
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
-ACKNOWLEDGE_INTERVAL_S: Final = 10
+ACKNOWLEDGE_INTERVAL_S: Final = 60
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
 START_RETRY_S: Final = 0.5
