Refuse joins across a cut and expose the agent's text version

Scenarios cut two processes off by shaping rules. An entry now refuses the join of a peer that its rules cut off; production processes have no rules.

The agent's version of the operators' text was visible to its peers only; endivetally_text_version shows it, as at entries, so that a scenario can see at every process when a text is in force.

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -159,6 +159,7 @@
             self._tasks,
             self._counters,
             self._link_counters,
+            self._texts,
         )
         return render(report.list_metrics())
 
--- a/libs/endivetally-agent/src/endivetally_agent/reports.py
+++ b/libs/endivetally-agent/src/endivetally_agent/reports.py
@@ -12,6 +12,7 @@
 from endivetally_agent.metrics import gauge
 from endivetally_agent.records import StartRecords
 from endivetally_agent.tasks import TaskManager
+from endivetally_agent.texts import TextStore
 
 PREFIX: Final = 'endivetally_agent'
 
@@ -26,12 +27,14 @@
         tasks: TaskManager,
         counters: AgentCounters,
         links: LinkCounters,
+        texts: TextStore,
     ) -> None:
         self._gate = gate
         self._records = records
         self._tasks = tasks
         self._counters = counters
         self._links = links
+        self._texts = texts
 
     def list_metrics(self) -> list[Metric]:
         """Return all metrics with their current values."""
@@ -97,6 +100,11 @@
                 'Results held for their owners.',
                 self._records.body_bytes,
             ),
+            gauge(
+                'endivetally_text_version',
+                "Version of the operators' text in force.",
+                self._texts.version,
+            ),
             gauge(f'{PREFIX}_run_ms', 'Average run time of a task.', usage.run_ms),
             gauge(
                 f'{PREFIX}_task_memory_mb', 'Learned memory of a task.', usage.memory_mb
--- a/libs/endivetally-core/src/endivetally_core/shaping.py
+++ b/libs/endivetally-core/src/endivetally_core/shaping.py
@@ -80,10 +80,19 @@
 
     def shape(self, peer: str, data_centre: str) -> Delivery:
         """Return what the matching rule says, or an immediate delivery."""
+        rule = self._find(peer, data_centre)
+        return IMMEDIATE if rule is None else self._apply(rule)
+
+    def is_cut(self, peer: str, data_centre: str) -> bool:
+        """Return whether nothing reaches the peer, a join neither."""
+        rule = self._find(peer, data_centre)
+        return rule is not None and rule.cut
+
+    def _find(self, peer: str, data_centre: str) -> ShapingRule | None:
         for rule in self._rules:
             if peer.startswith(rule.peer) or data_centre == rule.peer:
-                return self._apply(rule)
-        return IMMEDIATE
+                return rule
+        return None
 
     def _apply(self, rule: ShapingRule) -> Delivery:
         if rule.cut:
--- a/libs/endivetally-entry/src/endivetally_entry/operators.py
+++ b/libs/endivetally-entry/src/endivetally_entry/operators.py
@@ -141,6 +141,11 @@
             malformed = RequestError(ErrorKind.MALFORMED_REQUEST, str(error))
             await self.answer_with(error_answer(malformed))
             return
+        joiner = joining.agent or joining.entry
+        if joiner and self._entry.shaper.is_cut(joiner.name, joiner.data_centre):
+            cut = RequestError(ErrorKind.NOT_READY, 'the peer is cut off')
+            await self.answer_with(error_answer(cut))
+            return
         listener = LinkListener(self._entry.identity.address.host)
         self._entry.serve_link(joining, listener)
         answer = JoinAnswer(
