Answer unknown for a key while an entry has no text yet

Found by tests/scenarios/p3-former-incarnation: an entry is killed while jobs run, a new one starts at its address, and the callers submit their keys again. The new entry answered not_ready with not_run until it had read the text, though the keys had run for its predecessor. Seen: j-1, j-3 and j-5 'refused not_ready', and the check of starts printed 'j-3 ran after a refusal' (32 starts).

An entry without a text knows no history of any key, so a request with an Idempotency-Key is now answered unknown; without a key it stays not_run. After: the scenario passes, all six jobs and eight notes are answered whole when they are submitted again.

--- a/libs/endivetally-entry/src/endivetally_entry/callers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/callers.py
@@ -9,6 +9,7 @@
 from endivetally_config.text import Team
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
+from endivetally_core.errors import RunState
 from endivetally_core.messages import MAX_PAYLOAD_BYTES
 from endivetally_core.messages import MAX_TASKS_PER_JOB
 from tornado.web import RequestHandler
@@ -121,7 +122,13 @@
     def _read(self, service_name: str, *, cancel: bool) -> CallerRequest:
         text = self._entry.keeper.text
         if self._entry.keeper.version == 0:
-            raise RequestError(ErrorKind.NOT_READY, "no operators' text is in force")
+            # An earlier submission of the key may have run elsewhere.
+            keyed = 'Idempotency-Key' in self.request.headers
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                "no operators' text is in force",
+                ran=RunState.UNKNOWN if keyed else None,
+            )
         team = self._entry.team_of_token(self.bearer_token())
         if team is None:
             raise RequestError(ErrorKind.UNAUTHORISED, 'the token names no team')
