--- a/libs/endivetally/src/endivetally/scenario.py
+++ b/libs/endivetally/src/endivetally/scenario.py
@@ -69,16 +69,24 @@
     jobs: int,
 ) -> list[ScenarioReport]:
     slots = asyncio.Semaphore(jobs)
+    runs = [
+        _run_one(scenario, file, seed, slots)
+        for scenario, file in zip(scenarios, files, strict=True)
+    ]
+    return await asyncio.gather(*runs)
 
-    async def run_one(scenario: Scenario, file: Path) -> ScenarioReport:
-        async with slots:
-            report = await run_scenario(scenario, str(file), seed)
-        verdict = 'passed' if report.passed else 'FAILED'
-        typer.echo(f'{verdict} in {report.seconds:.1f} s: {report.name}', err=True)
-        return report
 
-    pairs = zip(scenarios, files, strict=True)
-    return await asyncio.gather(*(run_one(*pair) for pair in pairs))
+async def _run_one(
+    scenario: Scenario,
+    file: Path,
+    seed: int,
+    slots: asyncio.Semaphore,
+) -> ScenarioReport:
+    async with slots:
+        report = await run_scenario(scenario, str(file), seed)
+    verdict = 'passed' if report.passed else 'FAILED'
+    typer.echo(f'{verdict} in {report.seconds:.1f} s: {report.name}', err=True)
+    return report
 
 
 def _read(file: Path) -> Scenario:
--- a/libs/endivetally/src/endivetally/scenarios/caller_steps.py
+++ b/libs/endivetally/src/endivetally/scenarios/caller_steps.py
@@ -28,7 +28,8 @@
     def arrival(self, stage: Stage, service: str, key: str, at_s: float = 0) -> Arrival:
         """Return a request with these tasks."""
         kind = stage.kind_of(service)
-        return Arrival(at_s, service, kind, key, [self.run_ms] * self.count)
+        run_ms = [self.run_ms for _ in range(self.count)]
+        return Arrival(at_s, service, kind, key, run_ms)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/endivetally/src/endivetally/scenarios/deployment.py
+++ b/libs/endivetally/src/endivetally/scenarios/deployment.py
@@ -13,7 +13,7 @@
 from endivetally.fleet_deployment import place_workers
 
 LATENCY_MS: Final = 1
-DEADLINE_MS: Final = 20_000
+DEADLINE_MS: Final = 10_000
 TEXT: Final = OperatorsText(
     services=(
         Service(
--- a/libs/endivetally/src/endivetally/scenarios/judgement.py
+++ b/libs/endivetally/src/endivetally/scenarios/judgement.py
@@ -46,6 +46,17 @@
     )
 
 
+def count_answers(submissions: list[Submission]) -> dict[str, dict[str, int]]:
+    """Return how many requests of each label ended in each way."""
+    counts: dict[str, dict[str, int]] = {}
+    for submission in submissions:
+        code = submission.answer.code if submission.answer else ''
+        ending = f'{submission.verdict.value} {code}'.strip()
+        endings = counts.setdefault(submission.label, {})
+        endings[ending] = endings.get(ending, 0) + 1
+    return counts
+
+
 def judge_invariants(stage: Stage) -> list[str]:
     """Return what does not hold, a sentence each."""
     totals = judge_totals(stage)
--- a/libs/endivetally/src/endivetally/scenarios/network.py
+++ b/libs/endivetally/src/endivetally/scenarios/network.py
@@ -8,6 +8,7 @@
 from endivetally_core.shaping import ShapingRule
 
 from endivetally.fleet import Fleet
+from endivetally.fleet_client import ProcessUnreachable
 from endivetally.scenarios.places import Places
 
 
@@ -73,5 +74,9 @@
             *self._fleet.deployment.latency_rules(data_centre),
         )
         process = self._fleet.process(name)
-        if process.alive:
+        try:
             await self._fleet.client.shape(process.url, rules)
+        except ProcessUnreachable:
+            # A fenced entry ends; its rules are applied when it starts again.
+            if process.alive:
+                raise
--- a/libs/endivetally/src/endivetally/scenarios/places.py
+++ b/libs/endivetally/src/endivetally/scenarios/places.py
@@ -26,8 +26,9 @@
 
         :raises StepFailed: when there are none.
         """
-        if name in self._given:
-            return self._given[name]
+        given = self._given.get(name)
+        if given is not None:
+            return given
         found = [
             process
             for process, groups in self._groups()
--- a/libs/endivetally/src/endivetally/scenarios/report.py
+++ b/libs/endivetally/src/endivetally/scenarios/report.py
@@ -8,6 +8,7 @@
     """What a run of one scenario showed.
 
     :param promise: number of the promise; 0 for liveness.
+    :param answers: how many requests of each label ended in each way.
     :param failures: what did not hold, a sentence each.
     """
 
@@ -19,6 +20,7 @@
     partial: int
     lost: int
     interrupted: int
+    answers: dict[str, dict[str, int]]
     failures: list[str]
     file: str
     seed: int
--- a/libs/endivetally/src/endivetally/scenarios/run.py
+++ b/libs/endivetally/src/endivetally/scenarios/run.py
@@ -8,6 +8,7 @@
 from endivetally_core.errors import EndivetallyError
 
 from endivetally.scenarios.judgement import Totals
+from endivetally.scenarios.judgement import count_answers
 from endivetally.scenarios.judgement import judge_invariants
 from endivetally.scenarios.judgement import judge_totals
 from endivetally.scenarios.language import Scenario
@@ -29,13 +30,17 @@
     began = time.monotonic()
     totals = NO_TOTALS
     failures: list[str] = []
+    answers: dict[str, dict[str, int]] = {}
     try:
         async with Stage(scenario.deployment, seed) as stage:
             failures += await _take_steps(scenario, stage)
+            _log.info('%s: steps taken', scenario.name)
             await stage.callers.wait()
+            _log.info('%s: callers answered', scenario.name)
             await asyncio.sleep(SETTLE_S)
             failures += judge_invariants(stage)
             totals = judge_totals(stage)
+            answers = count_answers(stage.callers.submissions)
     except EndivetallyError as error:
         failures.append(f'the fleet: {error}')
     return ScenarioReport(
@@ -47,6 +52,7 @@
         partial=totals.partial,
         lost=totals.lost,
         interrupted=totals.interrupted,
+        answers=answers,
         failures=failures,
         file=file,
         seed=seed,
--- a/libs/endivetally/src/endivetally/scenarios/selectors.py
+++ b/libs/endivetally/src/endivetally/scenarios/selectors.py
@@ -1,11 +1,14 @@
 """Selectors: which processes a step is about."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from endivetally.scenarios.stage import Stage
 from endivetally.scenarios.steps import Selector
 from endivetally.scenarios.steps import StepFailed
 
+ROLES: Final = ('entry', 'agent', 'target')
+
 
 @dataclass(frozen=True, slots=True)
 class Named(Selector):
@@ -77,6 +80,20 @@
         return stage.places.of_role(self.role)
 
 
+@dataclass(frozen=True, slots=True)
+class WhateverEnded(Selector):
+    """Processes that have ended, whether they were told to or not."""
+
+    async def select(self, stage: Stage) -> list[str]:
+        """Return the names of all, which may be none."""
+        return [
+            name
+            for role in ROLES
+            for name in stage.places.of_role(role)
+            if not stage.fleet.process(name).alive
+        ]
+
+
 async def select_one(selector: Selector, stage: Stage) -> str:
     """Return the name of one process.
 
--- a/libs/endivetally/src/endivetally/scenarios/syntax.py
+++ b/libs/endivetally/src/endivetally/scenarios/syntax.py
@@ -1,6 +1,9 @@
 """Builds the steps of a scenario from its syntax tree."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
+from typing import Final
 
 from lark import Token
 from lark import Transformer
@@ -19,7 +22,7 @@
 from endivetally.scenarios.steps import Selector
 from endivetally.scenarios.steps import Step
 
-SIGNALS = {
+SIGNALS: Final[Mapping[str, Callable[[Selector], Step]]] = {
     'start': process_steps.Start,
     'stop': process_steps.Stop,
     'kill': process_steps.Kill,
@@ -65,6 +68,10 @@
         """Build the selector of another entry."""
         return selectors.EntryExcept(other)
 
+    def whatever_ended(self) -> Selector:
+        """Build the selector of processes that have ended."""
+        return selectors.WhateverEnded()
+
     def every(self, role: Token) -> Selector:
         """Build the selector of a role."""
         return selectors.Every(str(role))
--- a/libs/endivetally/src/endivetally/scenarios/text_expectations.py
+++ b/libs/endivetally/src/endivetally/scenarios/text_expectations.py
@@ -96,9 +96,7 @@
 
 def _back_since(stage: Stage, process: str) -> float:
     ends = [
-        absence.ended_s or 0
-        for absence in stage.absences
-        if absence.process == process
+        absence.ended_s or 0 for absence in stage.absences if absence.process == process
     ]
     return max(ends, default=0)
 
--- a/libs/endivetally/src/endivetally/scenarios/texts.py
+++ b/libs/endivetally/src/endivetally/scenarios/texts.py
@@ -3,7 +3,9 @@
 import asyncio
 import re
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass
+from typing import Any
 from typing import Final
 
 import msgspec
@@ -58,7 +60,8 @@
         self._fleet = fleet
         self._http = AsyncHTTPClient(force_instance=True)
         self._weight = 1
-        self._watch: asyncio.Task[None] | None = None
+        self._looking: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def newest_version(self) -> int:
@@ -72,13 +75,14 @@
 
     def close(self) -> None:
         """Stop looking at versions."""
-        if self._watch is not None:
-            self._watch.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._http.close()
 
     async def submit(self, label: str, entry: str, based_on: int) -> None:
         """Submit a text that differs from all before it."""
-        self._watch = self._watch or asyncio.create_task(self._look_forever())
+        if not self._tasks:
+            self._spawn(self._look_forever())
         text = self._next_text()
         status, body = await self._put(entry, based_on, encode_text(text))
         version = 0
@@ -88,6 +92,11 @@
             TextSubmission(label, text, status, version, time.time()),
         )
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _put(self, entry: str, based_on: int, body: bytes) -> tuple[int, bytes]:
         request = HTTPRequest(
             f'{self._fleet.process(entry).url}/v1/text?based_on={based_on}',
@@ -111,17 +120,20 @@
 
     async def _look_forever(self) -> None:
         while True:
-            processes = [*self._fleet.entries, *self._fleet.agents]
-            await asyncio.gather(*map(self._look, processes))
+            for process in (*self._fleet.entries, *self._fleet.agents):
+                if process.name not in self._looking:
+                    self._looking.add(process.name)
+                    self._spawn(self._look(process))
             await asyncio.sleep(LOOK_INTERVAL_S)
 
     async def _look(self, process: FleetProcess) -> None:
         pid = process.pid
         try:
-            async with asyncio.timeout(LOOK_INTERVAL_S * 2):
-                response = await self._fleet.client.get(f'{process.url}/metrics')
-        except (ProcessUnreachable, TimeoutError):
+            response = await self._fleet.client.get(f'{process.url}/metrics')
+        except ProcessUnreachable:
             return
+        finally:
+            self._looking.discard(process.name)
         found = _VERSION.search(response.body.decode())
         if found:
             version = round(float(found[1]))
