--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -33,6 +33,7 @@
 from endivetally_agent.gate import GateState
 from endivetally_agent.metrics import add_counters
 from endivetally_agent.metrics import add_levels
+from endivetally_agent.metrics import add_text_version
 from endivetally_agent.peers import EntryConnector
 from endivetally_agent.peers import EntryPeers
 from endivetally_agent.records import StartRecords
@@ -81,6 +82,7 @@
         self._metrics.add_link_counters(self._link_counters)
         add_counters(self._metrics, self._counters)
         add_levels(self._metrics, self._gate, self._records, self._tasks)
+        add_text_version(self._metrics, self._texts)
         self._peers = EntryPeers(settings, self, table, self._counters)
 
     async def __aenter__(self) -> Self:
--- a/libs/endivetally-agent/src/endivetally_agent/metrics.py
+++ b/libs/endivetally-agent/src/endivetally_agent/metrics.py
@@ -12,6 +12,7 @@
 from endivetally_agent.gate import Gate
 from endivetally_agent.records import StartRecords
 from endivetally_agent.tasks import TaskManager
+from endivetally_agent.texts import TextStore
 
 PREFIX: Final = 'endivetally_agent'
 MS_PER_S: Final = 1000
@@ -84,6 +85,17 @@
     )
 
 
+def add_text_version(metrics: Metrics, texts: TextStore) -> None:
+    """Expose the version of the operators' text."""
+    metrics.add_gauge(
+        MetricName(
+            'endivetally_text_version',
+            "Version of the operators' text in force.",
+        ),
+        lambda: [Sample(texts.version)],
+    )
+
+
 def _add_level(
     metrics: Metrics, name: str, documentation: str, read: Callable[[], float]
 ) -> None:
