--- a/libs/endivetally-core/src/endivetally_core/links.py
+++ b/libs/endivetally-core/src/endivetally_core/links.py
@@ -39,6 +39,8 @@
         self.messages: Counter[str] = Counter()
         self.frames = 0
         self.bytes = 0
+        self.received_frames = 0
+        self.received_bytes = 0
         self.malformed = 0
 
 
@@ -136,6 +138,8 @@
             _raise_if_cancelled()
             raise LinkClosed(self.peer) from error
         _raise_if_cancelled()
+        self._counters.received_frames += 1
+        self._counters.received_bytes += len(encoded)
         return decode_frame(encoded)
 
     async def flush(self) -> None:
--- a/libs/endivetally-core/src/endivetally_core/metrics.py
+++ b/libs/endivetally-core/src/endivetally_core/metrics.py
@@ -190,6 +190,20 @@
             MetricName('endivetally_bytes_total', 'Bytes of frames sent on links.'),
             lambda: [Sample(counters.bytes)],
         )
+        self.add_counter(
+            MetricName(
+                'endivetally_received_frames_total',
+                'Frames received on links.',
+            ),
+            lambda: [Sample(counters.received_frames)],
+        )
+        self.add_counter(
+            MetricName(
+                'endivetally_received_bytes_total',
+                'Bytes of frames received on links.',
+            ),
+            lambda: [Sample(counters.received_bytes)],
+        )
         self.add_counter(
             MetricName(
                 'endivetally_malformed_frames_total',
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/__init__.py
@@ -0,0 +1,19 @@
+"""Measures how the cost of control grows, and computes the capacity page."""
+
+from endivetally.capacity.fits import Fit
+from endivetally.capacity.fits import Point
+from endivetally.capacity.fits import fit_line
+from endivetally.capacity.recording import Floor
+from endivetally.capacity.recording import Recording
+from endivetally.capacity.recording import Slope
+from endivetally.capacity.recording import load_recording
+
+__all__ = (
+    'Fit',
+    'Floor',
+    'Point',
+    'Recording',
+    'Slope',
+    'fit_line',
+    'load_recording',
+)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/agent_host.py
@@ -0,0 +1,111 @@
+"""Many agents without targets in one process, for the capacity measurements.
+
+Run as ``python -m endivetally.capacity.agent_host COUNT TABLE READY_FILE``.
+``GET /counts`` answers with the sums of their counters.
+"""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from endivetally_agent.agent import Agent
+from endivetally_config.settings import AgentSettings
+from endivetally_core.joining import Address
+from endivetally_core.joining import Announcement
+from endivetally_core.logs import configure_logging
+from endivetally_table.http import HttpTable
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from endivetally.capacity.counters import LinkTotals
+from endivetally.capacity.counters import parse_totals
+from endivetally.capacity.counters import sum_totals
+
+LOOPBACK: Final = '127.0.0.1'
+POOL: Final = 'search-front'
+SLOTS: Final = 8
+CONNECTIONS: Final = 64
+MEMORY_MB: Final = 32 * 1024
+ANNOUNCE_INTERVAL_S: Final = 1
+DISCARD_PORT: Final = 9
+
+
+class CountsHandler(RequestHandler):
+    """``GET /counts``."""
+
+    def initialize(self, agents: list[Agent]) -> None:
+        """Take the agents from the application."""
+        self._agents = agents
+
+    def data_received(self, chunk: bytes) -> None:
+        """Bodies are read whole."""
+
+    def get(self) -> None:
+        """Answer the sums as JSON."""
+        self.finish(msgspec.json.encode(_sum_counters(self._agents)))
+
+
+def _sum_counters(agents: Iterable[Agent]) -> LinkTotals:
+    return sum_totals(parse_totals(agent.metrics().body.decode()) for agent in agents)
+
+
+async def _announce(agents: list[Agent]) -> None:
+    announcement = Announcement(POOL, DISCARD_PORT, SLOTS, CONNECTIONS, MEMORY_MB)
+    while True:
+        for agent in agents:
+            agent.announce(announcement)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+
+async def run_host(count: int, table: Address, ready_file: Path) -> None:
+    """Run agents until SIGTERM."""
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    async with AsyncExitStack() as stack:
+        rows = HttpTable(table)
+        stack.callback(rows.close)
+        agents = [
+            await stack.enter_async_context(Agent(_settings(number, table), rows))
+            for number in range(count)
+        ]
+        sockets = bind_sockets(0, LOOPBACK)
+        server = HTTPServer(
+            Application([('/counts', CountsHandler, {'agents': agents})])
+        )
+        server.add_sockets(sockets)
+        stack.callback(server.stop)
+        announcing = asyncio.create_task(_announce(agents))
+        stack.callback(announcing.cancel)
+        ready_file.write_text(f'{LOOPBACK}:{sockets[0].getsockname()[1]}\n')
+        await stopped.wait()
+
+
+def _settings(number: int, table: Address) -> AgentSettings:
+    return AgentSettings(
+        name=f'light-{number}',
+        data_centre='dc-1',
+        rack=f'rack-{number % 3}',
+        listen=Address(LOOPBACK, 0),
+        table=table,
+    )
+
+
+def main(count: str, table: str, ready_file: str) -> None:
+    """Run the host.
+
+    :param table: ``host:port`` of the table service.
+    """
+    configure_logging('agent-host', 'INFO')
+    host, _, port = table.rpartition(':')
+    asyncio.run(run_host(int(count), Address(host, int(port)), Path(ready_file)))
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/floors.py
@@ -0,0 +1,56 @@
+"""Memory of an interpreter with the libraries of the daemons, before any work."""
+
+import asyncio
+import sys
+from typing import Final
+
+import msgspec
+
+from endivetally.capacity.recording import Floor
+
+# Name of the floor and what the interpreter imports.
+IMPORTS: Final = (
+    ('python', ''),
+    ('asyncio', 'asyncio'),
+    ('tornado', 'asyncio, tornado.httpserver, tornado.web, tornado.simple_httpclient'),
+    ('msgspec', 'msgspec'),
+    ('pynng', 'pynng'),
+    ('aioprometheus', 'aioprometheus'),
+    (
+        'libraries',
+        'tornado.httpserver, tornado.web, tornado.simple_httpclient, '
+        'msgspec, pynng, xxhash, aioprometheus',
+    ),
+    ('agent', 'endivetally_agent.agent'),
+    ('entry', 'endivetally_entry.lifecycle'),
+)
+SCRIPT: Final = (
+    'import sys\n'
+    'for name in sys.argv[1].split(", "):\n'
+    '    name and __import__(name)\n'
+    'fields = ("VmRSS", "RssFile", "RssAnon")\n'
+    'lines = [line.split() for line in open("/proc/self/status")]\n'
+    'found = {line[0][:-1]: int(line[1]) for line in lines if line[0][:-1] in fields}\n'
+    'smaps = [line.split() for line in open("/proc/self/smaps_rollup")][1:]\n'
+    'private = sum(int(line[1]) for line in smaps if line[0].startswith("Private_"))\n'
+    'print(f"[{found[\'VmRSS\']}, {private}]")\n'
+)
+KB_PER_MB: Final = 1000 / 1.024
+
+
+async def measure_floors() -> list[Floor]:
+    """Start an interpreter for each group of imports and read its memory."""
+    return [await _measure(name, modules) for name, modules in IMPORTS]
+
+
+async def _measure(name: str, modules: str) -> Floor:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        SCRIPT,
+        modules,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    resident, private = msgspec.json.decode(output, type=tuple[int, int])
+    return Floor(name, resident / KB_PER_MB, private / KB_PER_MB)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/stage.py
@@ -0,0 +1,76 @@
+"""Fleets for the measurements: entries, real workers and hosted agents."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Final
+
+from endivetally.fleet import Fleet
+from endivetally.fleet_deployment import LOVDATA
+from endivetally.fleet_deployment import Deployment
+from endivetally.fleet_deployment import place_entries
+from endivetally.fleet_deployment import place_workers
+from endivetally.fleet_process import FleetProcess
+
+DATA_CENTRES: Final = ('dc-1',)
+POOL: Final = 'search-front'
+START_TIMEOUT_S: Final = 60
+POLL_S: Final = 0.1
+SETTLE_S: Final = 3
+
+
+def make_deployment(entries: int, workers: int) -> Deployment:
+    """Return a deployment without latency."""
+    return replace(
+        LOVDATA,
+        name='capacity',
+        data_centres=DATA_CENTRES,
+        latency_ms=0,
+        entries=place_entries(entries, DATA_CENTRES),
+        workers=place_workers(((POOL, workers),), DATA_CENTRES),
+    )
+
+
+@asynccontextmanager
+async def staged_fleet(entries: int, workers: int = 0) -> AsyncIterator[Fleet]:
+    """Start a fleet and end it afterwards."""
+    async with Fleet(make_deployment(entries, workers)) as fleet:
+        await fleet.start_daemons()
+        await fleet.start_targets()
+        await wait_for_targets(fleet, workers)
+        yield fleet
+
+
+@asynccontextmanager
+async def hosted_agents(fleet: Fleet, count: int) -> AsyncIterator[FleetProcess]:
+    """Run agents in a process of their own, linked to every entry."""
+    async with AsyncExitStack() as stack:
+        ready_file = fleet.directory / f'host-{count}.ready'
+        log_file = fleet.directory / f'host-{count}.log'
+        host = FleetProcess(f'host-{count}', ready_file, log_file)
+        module = 'endivetally.capacity.agent_host'
+        await host.start(
+            ['-m', module, str(count), str(fleet.table.address), str(ready_file)],
+        )
+        stack.push_async_callback(host.kill)
+        await wait_for_targets(fleet, count)
+        await asyncio.sleep(SETTLE_S)
+        yield host
+
+
+async def wait_for_targets(fleet: Fleet, count: int) -> None:
+    """Wait until every entry sees this many open targets.
+
+    :raises TimeoutError: when that takes too long.
+    """
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for entry in fleet.entries:
+            while not await _sees(fleet, entry, count):
+                await asyncio.sleep(POLL_S)
+
+
+async def _sees(fleet: Fleet, entry: FleetProcess, count: int) -> bool:
+    status = await fleet.client.status(entry.url)
+    return status is not None and status.version > 0 and status.open_targets >= count
