Heartbeat only the entries that watch an agent; probe on demand elsewhere

Cause: entries sent a heartbeat to every agent each second, agents heartbeat three entries only. From the fourth entry on, an entry that was not among the three took every idle agent for silent after 3 s, gave its credits back, and the agent's answer opened it again: one false change of state for each such pair every 3 s.

Now the agent says in its heartbeat that the entry watches it, and the entry answers that heartbeat. Other entries learn of a silent agent from the watchers' news, or by a probe when the agent has work and was not heard for 1 s; a probe that is not answered for 3 s means silent. News about an agent is itself followed by a probe, so that an agent that wakes up or was never silent is open again at once. The agent closes the link of a watcher, or of a holder of unused credits with waiting tasks, that does not answer for 4 s, and so takes its credits back. Entries tell the watched agents of new entries; the table is read by an agent when it has no link, and once a minute otherwise.

Ruled out: heartbeats to all entries (grows with the number of entries); news of recovery (the probe's answer is one message to each entry and can not be older than the news).

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -12,7 +12,6 @@
 
 from endivetally_config.settings import AgentSettings
 from endivetally_core.identifiers import new_incarnation
-from endivetally_core.identifiers import rank_by_rendezvous
 from endivetally_core.joining import AgentIdentity
 from endivetally_core.joining import Announcement
 from endivetally_core.joining import EntryIdentity
@@ -44,14 +43,13 @@
 from endivetally_agent.session import EntrySession
 from endivetally_agent.tasks import TaskManager
 from endivetally_agent.texts import TextStore
+from endivetally_agent.watchers import Watchers
 
 logger: Final = logging.getLogger(__name__)
 
-WATCHERS: Final = 3
 HEARTBEAT_S: Final = 1
 LEASE_CHECK_S: Final = 0.1
 TRIM_S: Final = 5
-ENTRY_SILENCE_S: Final = 4
 LINGER_S: Final = 0.2
 DRAIN_CHECK_S: Final = 0.05
 
@@ -78,6 +76,7 @@
         self._gate = Gate(self._records)
         self._runner = TargetRunner()
         self._tasks = TaskManager(self._gate, self._runner, self._links, self._counters)
+        self._watchers = Watchers(settings.name, self._links, self._tasks)
         self._metrics = Metrics()
         self._metrics.add_link_counters(self._link_counters)
         add_counters(self._metrics, self._counters)
@@ -188,6 +187,8 @@
             links=self._links,
             texts=self._texts,
             counters=self._link_counters,
+            watchers=self._watchers,
+            learn=self._peers.learn_later,
         )
         await session.serve()
 
@@ -213,9 +214,7 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            ranked = rank_by_rendezvous(self._settings.name, self._links.entries)
-            for watcher in ranked[:WATCHERS]:
-                self._links.post(watcher, self._tasks.state)
+            self._watchers.beat()
             self._tasks.send_orders(self._tasks.ledger.expire_revocations())
 
     async def _trim(self) -> None:
--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -1,7 +1,6 @@
 """Finds entries, joins them and keeps one link to each."""
 
 import asyncio
-import contextlib
 import functools
 import logging
 import random
@@ -31,11 +30,15 @@
 
 BACKOFF_MIN_S: Final = 0.05
 BACKOFF_MAX_S: Final = 2
+LINKED_BACKOFF_MAX_S: Final = 10
 FORGET_AFTER_S: Final = 60
-SCAN_INTERVAL_S: Final = 10
-SCAN_RETRY_S: Final = 0.5
+SCAN_INTERVAL_S: Final = 60
+SCAN_RETRY_MIN_S: Final = 0.5
+SCAN_RETRY_MAX_S: Final = 5
+JOIN_SPREAD_S: Final = 10
 JOIN_TIMEOUT_S: Final = 3
 MAX_JOINS: Final = 16
+JOIN_FAILURES: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
 
 
 class EntryConnector(ABC):
@@ -62,19 +65,26 @@
 
 
 class Backoff:
-    """Exponential backoff with full jitter."""
+    """Exponential backoff with jitter.
 
-    def __init__(self) -> None:
-        self._limit_s = BACKOFF_MIN_S
+    :param min_s: upper limit of the first wait.
+    """
+
+    def __init__(self, min_s: float) -> None:
+        self._min_s = min_s
+        self._limit_s = min_s
 
     def reset(self) -> None:
         """Start again with the shortest wait."""
-        self._limit_s = BACKOFF_MIN_S
+        self._limit_s = self._min_s
+
+    async def wait(self, max_s: float) -> None:
+        """Sleep, and double the limit of the next sleep.
 
-    async def wait(self) -> None:
-        """Sleep, and double the limit of the next sleep."""
+        :param max_s: bound of that limit.
+        """
         await asyncio.sleep(random.uniform(self._limit_s / 2, self._limit_s))
-        self._limit_s = min(self._limit_s * 2, BACKOFF_MAX_S)
+        self._limit_s = min(self._limit_s * 2, max_s)
 
 
 class EntryPeers:
@@ -95,6 +105,7 @@
         self._table = table
         self._counters = counters
         self._known: dict[Address, asyncio.Task[None]] = {}
+        self._serving = 0
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_JOINS)
 
     @property
@@ -103,14 +114,21 @@
         return len(self._known)
 
     async def run(self) -> None:
-        """Search for entries for ever."""
+        """Search for entries for ever.
+
+        Entries tell of one another; the table is read at the start, while there
+        is no link, and seldom otherwise.
+        """
+        backoff = Backoff(SCAN_RETRY_MIN_S)
         while True:
             if self._connector.identity() is None:
                 await asyncio.sleep(BACKOFF_MIN_S)
                 continue
             await self._search()
-            interval_s = SCAN_INTERVAL_S if self._known else SCAN_RETRY_S
-            await asyncio.sleep(interval_s * random.uniform(0.75, 1.25))
+            await backoff.wait(SCAN_RETRY_MAX_S)
+            if self._serving:
+                backoff.reset()
+                await asyncio.sleep(SCAN_INTERVAL_S * random.uniform(0.75, 1.25))
 
     async def close(self) -> None:
         """End all tasks and release the connections."""
@@ -122,8 +140,16 @@
 
     def learn(self, address: Address) -> None:
         """Keep a link to the entry at this address from now on."""
+        self._start(address, 0)
+
+    def learn_later(self, address: Address) -> None:
+        """Keep a link to an entry that all agents hear of at about this time."""
+        self._start(address, random.uniform(0, JOIN_SPREAD_S))
+
+    def _start(self, address: Address, delay_s: float) -> None:
         if address not in self._known:
-            task = asyncio.get_running_loop().create_task(self._keep(address))
+            keeping = self._keep(address, delay_s)
+            task = asyncio.get_running_loop().create_task(keeping)
             self._known[address] = task
             task.add_done_callback(functools.partial(self._forget, address))
 
@@ -146,14 +172,16 @@
             elif row.state == 'fenced':
                 self._connector.note_fenced(row.identity.incarnation)
 
-    async def _keep(self, address: Address) -> None:
-        backoff = Backoff()
+    async def _keep(self, address: Address, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        backoff = Backoff(BACKOFF_MIN_S)
         reached_s = time.monotonic()
         while time.monotonic() - reached_s < FORGET_AFTER_S:
             if await self._join(address):
                 reached_s = time.monotonic()
                 backoff.reset()
-            await backoff.wait()
+            max_s = LINKED_BACKOFF_MAX_S if self._serving else BACKOFF_MAX_S
+            await backoff.wait(max_s)
 
     def _forget(self, address: Address, task: asyncio.Task[None]) -> None:
         self._known.pop(address, None)
@@ -163,7 +191,7 @@
     async def _join(self, address: Address) -> bool:
         try:
             answer = await self._introduce(address)
-        except (HTTPClientError, OSError, ValueError, msgspec.DecodeError):
+        except JOIN_FAILURES:
             self._counters.joins.increment('failed')
             return False
         self._counters.joins.increment('answered')
@@ -173,10 +201,17 @@
             self._connector.note_fenced(fenced)
         if self._connector.is_linked(answer.entry.incarnation):
             return False
-        with contextlib.suppress(LinkClosed):
+        return await self._serve(answer)
+
+    async def _serve(self, answer: JoinAnswer) -> bool:
+        self._serving += 1
+        try:
             await self._connector.serve(answer.entry, answer.link)
-            return True
-        return False
+        except LinkClosed:
+            return False
+        finally:
+            self._serving -= 1
+        return True
 
     async def _introduce(self, address: Address) -> JoinAnswer:
         body = msgspec.json.encode(JoinRequest(agent=self._connector.identity()))
--- a/libs/endivetally-agent/src/endivetally_agent/registry.py
+++ b/libs/endivetally-agent/src/endivetally_agent/registry.py
@@ -1,6 +1,8 @@
 """The links to entries that are up."""
 
 import asyncio
+import time
+from collections.abc import Callable
 from typing import Final
 
 from endivetally_core.links import Link
@@ -10,10 +12,15 @@
 
 
 class LinkRegistry:
-    """Links by incarnation of the entry."""
+    """Links by incarnation of the entry.
 
-    def __init__(self) -> None:
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._links: dict[str, Link] = {}
+        self._heard_at: dict[str, float] = {}
 
     @property
     def entries(self) -> list[str]:
@@ -27,10 +34,26 @@
     def add(self, entry: str, link: Link) -> None:
         """Register a link that is up."""
         self._links[entry] = link
+        self.note_heard(entry)
 
     def remove(self, entry: str) -> None:
         """Forget a link."""
         self._links.pop(entry, None)
+        self._heard_at.pop(entry, None)
+
+    def note_heard(self, entry: str) -> None:
+        """Note that a frame of an entry arrived."""
+        self._heard_at[entry] = self._clock()
+
+    def heard_at(self, entry: str) -> float:
+        """Return the monotonic time of an entry's last frame, 0 without a link."""
+        return self._heard_at.get(entry, 0)
+
+    def close(self, entry: str) -> None:
+        """End the link to an entry."""
+        link = self._links.get(entry)
+        if link is not None:
+            link.close()
 
     def post(self, entry: str, message: AnyMessage) -> bool:
         """Send to one entry; false when it has no link."""
--- a/libs/endivetally-agent/src/endivetally_agent/session.py
+++ b/libs/endivetally-agent/src/endivetally_agent/session.py
@@ -1,11 +1,13 @@
 """One link to an entry, from its opening to its end."""
 
 import logging
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Final
 
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import MalformedMessage
+from endivetally_core.joining import Address
 from endivetally_core.links import Link
 from endivetally_core.links import LinkCounters
 from endivetally_core.messages import Acknowledge
@@ -14,6 +16,7 @@
 from endivetally_core.messages import CreditReturn
 from endivetally_core.messages import Demand
 from endivetally_core.messages import Dispatch
+from endivetally_core.messages import EntryNews
 from endivetally_core.messages import EntryState
 from endivetally_core.messages import Fence
 from endivetally_core.messages import Fenced
@@ -26,6 +29,7 @@
 from endivetally_agent.registry import LinkRegistry
 from endivetally_agent.tasks import TaskManager
 from endivetally_agent.texts import TextStore
+from endivetally_agent.watchers import Watchers
 
 logger: Final = logging.getLogger(__name__)
 
@@ -34,6 +38,7 @@
     """Serves the messages of one entry.
 
     :param entry: incarnation of the entry.
+    :param learn: takes the addresses of other entries.
     """
 
     def __init__(
@@ -46,6 +51,8 @@
         links: LinkRegistry,
         texts: TextStore,
         counters: LinkCounters,
+        watchers: Watchers,
+        learn: Callable[[Address], None],
     ) -> None:
         self._entry = entry
         self._link = link
@@ -54,6 +61,8 @@
         self._links = links
         self._texts = texts
         self._counters = counters
+        self._watchers = watchers
+        self._learn = learn
 
     async def serve(self) -> None:
         """Handle frames until the link ends."""
@@ -68,7 +77,7 @@
             self._tasks.send_orders(self._tasks.ledger.detach(self._entry))
 
     async def _serve(self) -> None:
-        self._link.post(self._tasks.state)
+        self._watchers.greet(self._entry)
         if not self._gate.is_fenced(self._entry):
             self._tasks.send_orders(self._tasks.ledger.attach(self._entry))
         self._tasks.resend(self._entry)
@@ -81,6 +90,7 @@
                 self._handle_frame(frame)
 
     def _handle_frame(self, frame: Frame) -> None:
+        self._links.note_heard(self._entry)
         for message in frame.messages:
             self._handle(message)
         if self._texts.wants(frame.version):
@@ -127,7 +137,18 @@
 
     @_handle.register
     def _handle_entry_state(self, message: EntryState) -> None:
-        logger.debug('entry state', extra={'state': message.state})
+        if message.probe:
+            self._link.post(self._tasks.state)
+
+    @_handle.register
+    def _handle_entry_news(self, message: EntryNews) -> None:
+        try:
+            addresses = [Address.parse(text) for text in message.addresses]
+        except MalformedMessage:
+            self._counters.malformed += 1
+            return
+        for address in addresses:
+            self._learn(address)
 
     @_handle.register
     def _handle_text_request(self, message: TextRequest) -> None:
--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -62,6 +62,15 @@
         """Slots that are neither running nor granted."""
         return max(self.slots - self.running - self.unused_credits, 0)
 
+    @property
+    def holders_in_need(self) -> list[str]:
+        """Entries with credits that they do not use while their tasks wait."""
+        return [
+            entry
+            for entry, holding in self._holdings.items()
+            if holding.credits and holding.waiting
+        ]
+
     def credits_of(self, entry: str) -> int:
         """Return the unused credits of an entry."""
         return self._holdings[entry].credits if entry in self._holdings else 0
--- a/libs/endivetally-core/src/endivetally_core/joining.py
+++ b/libs/endivetally-core/src/endivetally_core/joining.py
@@ -5,9 +5,11 @@
 """
 
 from typing import Annotated
+from typing import Self
 
 import msgspec
 
+from endivetally_core.errors import MalformedMessage
 from endivetally_core.messages import Identifier
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
@@ -23,6 +25,21 @@
         """Host and port joined for a URL."""
         return f'{self.host}:{self.port}'
 
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Read ``host:port``.
+
+        :raises MalformedMessage: when it is none.
+
+        >>> Address.parse('10.0.0.1:80')
+        Address(host='10.0.0.1', port=80)
+        """
+        host, _, port = text.rpartition(':')
+        try:
+            return msgspec.convert({'host': host, 'port': port}, cls, strict=False)
+        except msgspec.ValidationError as error:
+            raise MalformedMessage(text) from error
+
 
 class EntryIdentity(msgspec.Struct, frozen=True):
     """An entry as its peers know it.
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from endivetally_core.errors import MalformedMessage
+from endivetally_core.wire import Message
+from endivetally_core.wire import Watch
 
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 MAX_MESSAGES_PER_FRAME: Final = 256
@@ -22,10 +24,6 @@
 Sequence = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True, tag_field='type'):
-    """Base of all messages; a frozen structure with one tag for each class."""
-
-
 class TaskName(msgspec.Struct, frozen=True, array_like=True):
     """Name of one binding of a task, unique for ever.
 
@@ -122,12 +120,14 @@
     :param state: ``open``, ``leaving`` (no new work) or ``closed``.
     :param running: tasks at the target.
     :param memory_mb: the target's resident memory as last reported.
+    :param watch: ``ON`` in every heartbeat to an entry that watches the agent.
     """
 
     state: Identifier
     running: Count
     slots: Count
     memory_mb: Count = 0
+    watch: Watch = Watch.UNCHANGED
 
 
 class Acknowledge(Message, frozen=True, tag='acknowledge'):
@@ -174,11 +174,13 @@
     :param state: ``open`` or ``leaving``.
     :param usage: task starts a second that callers of each team asked for.
     :param map_version: version of the shard map that the sender knows.
+    :param probe: an agent answers with its `AgentState`.
     """
 
     state: Identifier
     usage: dict[Identifier, float] = {}
     map_version: Sequence = 0
+    probe: bool = False
 
 
 class AgentNews(Message, frozen=True, tag='agent_news'):
@@ -187,6 +189,12 @@
     agents: list[Identifier]
 
 
+class EntryNews(Message, frozen=True, tag='entry_news'):
+    """Entry to agent: entries to keep a link to, as ``host:port``."""
+
+    addresses: list[Identifier]
+
+
 class Forward(Message, frozen=True, tag='forward'):
     """Entry to entry: handle a caller's request at the owner of its key.
 
@@ -246,6 +254,7 @@
     | Recalled
     | EntryState
     | AgentNews
+    | EntryNews
     | Forward
     | Forwarded
     | TextRequest
--- /dev/null
+++ b/libs/endivetally-core/src/endivetally_core/wire.py
@@ -0,0 +1,21 @@
+"""Base of the messages, and the enumerations that they use."""
+
+from enum import StrEnum
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag_field='type'):
+    """Base of all messages; a frozen structure with one tag for each class."""
+
+
+class Watch(StrEnum):
+    """What a state says about who watches the agent.
+
+    An entry answers ``ON`` and ``PROBE`` with an `EntryState`.
+    """
+
+    UNCHANGED = ''
+    ON = 'on'
+    OFF = 'off'
+    PROBE = 'probe'
--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -4,20 +4,27 @@
 import logging
 from typing import TYPE_CHECKING
 
+import msgspec
 from endivetally_core.errors import EndivetallyError
 from endivetally_core.errors import LinkClosed
 from endivetally_core.joining import AgentIdentity
 from endivetally_core.messages import AgentState
 from endivetally_core.messages import AnyMessage
+from endivetally_core.messages import EntryNews
 from endivetally_core.messages import Grant
 from endivetally_core.messages import Outcome
 from endivetally_core.messages import Recalled
 from endivetally_core.messages import Revoke
+from endivetally_core.wire import Watch
 
 from endivetally_entry.exchange import MessageReceiver
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from endivetally_core.joining import EntryIdentity
     from endivetally_core.links import LinkListener
+    from endivetally_core.messages import EntryState
     from endivetally_policy.scheduling import Scheduler
     from endivetally_table.journal import Journal
 
@@ -32,6 +39,8 @@
 
 REJOIN_GRACE_S = 3
 SILENCE_S = 3
+PROBE_AFTER_S = 1
+NEWS_DELAY_S = 1.5
 ADMISSION_RETRY_S = 1
 
 
@@ -40,6 +49,7 @@
 
     :param scheduler: learns which agents can take tasks.
     :param journal: admits agents to tasks that may run at most once.
+    :param describe: returns the state of this entry.
     """
 
     def __init__(
@@ -51,6 +61,7 @@
         journal: 'Journal',
         recovery: 'Recovery',
         acknowledgements: 'Acknowledgements',
+        describe: 'Callable[[], EntryState]',
     ) -> None:
         self._roster = roster
         self._exchange = exchange
@@ -59,6 +70,8 @@
         self._journal = journal
         self._recovery = recovery
         self._acknowledgements = acknowledgements
+        self._describe = describe
+        self._told_addresses: list[str] = []
 
     async def serve(self, identity: AgentIdentity, listener: 'LinkListener') -> None:
         """Serve one link until it ends, then wait for the next a little."""
@@ -85,29 +98,58 @@
             await self._link_lost(known)
 
     def mark_silent_agents(self) -> list[str]:
-        """Stop giving work to agents that have not been heard for a while.
+        """Stop giving work to agents that had to be heard and were not.
+
+        These are the agents that heartbeat this entry and those that it probed.
 
         :returns: incarnations of those newly silent.
         """
-        oldest = _now() - SILENCE_S
+        now = _now()
         silent = [
             agent
             for agent in self._roster.agents
-            if agent.heard_at < oldest and agent.state != 'silent'
+            if agent.state != 'silent' and agent.is_overdue(now, SILENCE_S)
         ]
         for known in silent:
             self._give_up(known)
         return [agent.identity.incarnation for agent in silent]
 
+    def probe_busy_agents(self) -> None:
+        """Ask agents for their state that have work and were not heard lately."""
+        oldest = _now() - PROBE_AFTER_S
+        for incarnation in self._dispatcher.bound_agents:
+            known = self._roster.get(incarnation)
+            if known is None or known.watched or known.probed_at is not None:
+                continue
+            if known.heard_at < oldest:
+                self._probe(known)
+
     def reported_silent(self, incarnations: list[str]) -> None:
-        """Stop giving work to agents that another entry has lost."""
+        """Stop giving work to agents that another entry has lost.
+
+        An agent that was heard here since then answers the probe.
+        """
+        oldest = _now() - NEWS_DELAY_S
         for incarnation in incarnations:
             known = self._roster.get(incarnation)
-            if known is not None and known.state == 'open':
+            if known is None or known.state != 'open':
+                continue
+            if known.heard_at < oldest:
                 self._give_up(known)
 
+    def tell_entries(self, identities: 'list[EntryIdentity]') -> None:
+        """Tell the watched agents when the entries have changed."""
+        addresses = sorted(str(identity.address) for identity in identities)
+        if addresses != self._told_addresses:
+            self._told_addresses = addresses
+            self._roster.broadcast_to_watched(EntryNews(addresses))
+
     def state_received(self, known: 'KnownAgent', message: AgentState) -> None:
-        """Note the state that an agent reports."""
+        """Note the state that an agent reports, and answer a heartbeat."""
+        if message.watch in {Watch.ON, Watch.OFF}:
+            known.watched = message.watch is Watch.ON
+        if message.watch in {Watch.ON, Watch.PROBE}:
+            self._roster.post(known.identity.incarnation, self._describe())
         known.running = message.running
         known.memory_mb = message.memory_mb
         self._change_state(known, message.state)
@@ -132,8 +174,15 @@
             case _:
                 _log.debug('message ignored', extra={'type': type(message).__name__})
 
+    def _probe(self, known: 'KnownAgent') -> None:
+        known.probed_at = _now()
+        probe = msgspec.structs.replace(self._describe(), probe=True)
+        self._roster.post(known.identity.incarnation, probe)
+
     def _give_up(self, known: 'KnownAgent') -> None:
         incarnation = known.identity.incarnation
+        # An agent that wakes up, or was never silent, answers.
+        self._probe(known)
         # The agent counts these credits as given out until it hears of them.
         self._dispatcher.credits_revoked(incarnation, known.slots)
         self._change_state(known, 'silent')
@@ -168,6 +217,8 @@
     async def _link_lost(self, known: 'KnownAgent') -> None:
         incarnation = known.identity.incarnation
         known.link = None
+        known.watched = False
+        known.probed_at = None
         self._change_state(known, 'closed')
         self._dispatcher.fail_bindings(incarnation, 'link_lost', exclusive=False)
         await asyncio.sleep(REJOIN_GRACE_S)
@@ -189,7 +240,7 @@
 
     def heard(self) -> None:
         """Note that the agent is alive."""
-        self._known.heard_at = _now()
+        self._known.heard(_now())
 
     def handle(self, message: AnyMessage) -> None:
         """Handle one message."""
--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -64,6 +64,11 @@
         """Bindings that wait for a slot or for their outcome."""
         return len(self._submissions)
 
+    @property
+    def bound_agents(self) -> list[str]:
+        """Agents with bindings that have no outcome yet."""
+        return [agent for agent, names in self._bound_to.items() if names]
+
     def submit(
         self,
         task: 'PendingTask',
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -229,6 +229,7 @@
             self.journal,
             self.recovery,
             self.acknowledgements,
+            lambda: EntryState(self.state),
         )
 
     def _wire_keys(self) -> None:
@@ -299,7 +300,7 @@
         if update is not None:
             self.entry_links.broadcast(update)
         # The frame's version makes agents ask for the text.
-        self.roster.broadcast(EntryState(self.state))
+        self.roster.broadcast_to_watched(EntryState(self.state))
         _log.info('text in force', extra={'version': current.version})
 
     def _service_statuses(self) -> list[ServiceStatus]:
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -168,6 +168,7 @@
             now = loop.time()
             if now - last_tick > FROZEN_GAP_S:
                 self._entry.entry_links.restart_silence()
+                self._entry.roster.restart_silence()
             last_tick = now
             if now >= next_heartbeat:
                 next_heartbeat = now + HEARTBEAT_S
@@ -182,6 +183,7 @@
         silent = entry.agent_links.mark_silent_agents()
         if silent:
             entry.entry_links.broadcast(AgentNews(silent))
+        entry.agent_links.probe_busy_agents()
         if entry.journal.fenced:
             self._fenced()
         if entry.state == 'open':
@@ -192,7 +194,7 @@
         entry.quotas.tick(now)
         entry.admission.set_entries(len(entry.known_identities()))
         entry.peering.broadcast_state()
-        entry.roster.broadcast(EntryState(entry.state))
+        entry.agent_links.tell_entries(entry.known_identities())
         entry.ledger.prune()
 
     def _fenced(self) -> None:
--- a/libs/endivetally-entry/src/endivetally_entry/roster.py
+++ b/libs/endivetally-entry/src/endivetally_entry/roster.py
@@ -18,6 +18,8 @@
     :param link: the open link; ``None`` between two links.
     :param state: last reported state, or ``silent``.
     :param heard_at: time of its last frame, on the event loop's clock.
+    :param watched: it heartbeats this entry.
+    :param probed_at: when it was asked for its state; ``None`` once it is heard.
     """
 
     identity: AgentIdentity
@@ -26,12 +28,25 @@
     running: int = 0
     memory_mb: int = 0
     heard_at: float = 0
+    watched: bool = False
+    probed_at: float | None = None
 
     @property
     def slots(self) -> int:
         """Tasks that its target runs at once."""
         return self.identity.slots
 
+    def heard(self, now: float) -> None:
+        """Note that a frame arrived, or that silence is forgiven."""
+        self.heard_at = now
+        self.probed_at = None
+
+    def is_overdue(self, now: float, silence_s: float) -> bool:
+        """Whether it had to be heard and was not, for this long."""
+        if self.watched:
+            return now - self.heard_at > silence_s
+        return self.probed_at is not None and now - self.probed_at > silence_s
+
 
 class AgentRoster:
     """The known agents by incarnation."""
@@ -58,7 +73,8 @@
             known.link.close()
         known.link = link
         known.identity = identity
-        known.heard_at = asyncio.get_running_loop().time()
+        known.watched = False
+        known.heard(asyncio.get_running_loop().time())
         return known
 
     def forget(self, incarnation: str) -> None:
@@ -75,3 +91,15 @@
         """Send a message to every linked agent."""
         for incarnation in self._agents:
             self.post(incarnation, message)
+
+    def broadcast_to_watched(self, message: AnyMessage) -> None:
+        """Send a message to the agents that heartbeat this entry."""
+        for incarnation, known in self._agents.items():
+            if known.watched:
+                self.post(incarnation, message)
+
+    def restart_silence(self) -> None:
+        """Forgive silence, after this process itself was stopped."""
+        now = asyncio.get_running_loop().time()
+        for known in self._agents.values():
+            known.heard(now)
--- a/libs/endivetally/src/endivetally/bench_messages.py
+++ b/libs/endivetally/src/endivetally/bench_messages.py
@@ -8,7 +8,14 @@
 
 MESSAGES_METRIC: Final = 'endivetally_messages_total'
 CONTROL_MESSAGES: Final = frozenset(
-    ('AgentState', 'EntryState', 'AgentNews', 'TextRequest', 'TextUpdate'),
+    (
+        'AgentState',
+        'EntryState',
+        'AgentNews',
+        'EntryNews',
+        'TextRequest',
+        'TextUpdate',
+    ),
 )
 TASK_MESSAGES: Final = ('Dispatch', 'Outcome')
 _SAMPLE: Final = re.compile(
--- a/libs/endivetally/src/endivetally/capacity/control_cost.py
+++ b/libs/endivetally/src/endivetally/capacity/control_cost.py
@@ -58,8 +58,8 @@
 async def sample_entry(agents: int) -> Sample:
     """Measure one entry with idle agents."""
     async with staged_fleet(entries=1) as fleet, hosted_agents(fleet, agents):
-        (rates,) = await watch(fleet, fleet.entries, WATCH_S)
-        return Sample(agents, rates, read_process(fleet.entries[0].pid))
+        rates = await watch(fleet, fleet.entries, WATCH_S)
+        return Sample(agents, rates[0], read_process(fleet.entries[0].pid))
 
 
 async def sample_agent(entries: int) -> tuple[Sample, Sample]:
--- a/libs/endivetally/src/endivetally/capacity/fits.py
+++ b/libs/endivetally/src/endivetally/capacity/fits.py
@@ -43,7 +43,7 @@
     sizes = np.array([point.size for point in points])
     measured = np.array([point.value for point in points])
     design = np.column_stack((sizes, np.ones_like(sizes)))
-    (slope, intercept), *_ = np.linalg.lstsq(design, measured, rcond=None)
+    slope, intercept = np.linalg.lstsq(design, measured, rcond=None)[0]
     residuals = measured - design @ np.array((slope, intercept))
     freedom = len(points) - 2
     variance = float(residuals @ residuals) / freedom
--- a/tests/agent/fake_entry.py
+++ b/tests/agent/fake_entry.py
@@ -12,8 +12,11 @@
 from endivetally_core.links import LinkCounters
 from endivetally_core.links import LinkListener
 from endivetally_core.links import NngLink
+from endivetally_core.messages import AgentState
 from endivetally_core.messages import Dispatch
+from endivetally_core.messages import EntryState
 from endivetally_core.messages import TaskName
+from endivetally_core.wire import Watch
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -36,6 +39,7 @@
         self.fenced = list(fenced)
         self.known = []
         self.version = 0
+        self.answers = {Watch.ON, Watch.PROBE}
         self.joins = []
         self.messages = []
         self.link = None
@@ -88,8 +92,14 @@
             except LinkClosed:
                 return
             self.messages.extend(frame.messages)
+            self._answer_heartbeats(frame.messages)
             self._changed.set()
 
+    def _answer_heartbeats(self, messages):
+        for message in messages:
+            if isinstance(message, AgentState) and message.watch in self.answers:
+                self.link.post(EntryState('open'))
+
     async def linked(self):
         await self._until(lambda: self.link is not None and not self.link.closed)
 
