Serve callers only once agents had time to join

A restarted entry answered lookups with no_target (10 of 360) before its first agent had joined, and keyed requests with not_ready before it knew the shard map. Ruled out: a slower balancer check in the scenario; callers would still meet it. Before: 10 lookups refused, 24 keyed requests not_ready. Conclusion: an entry opens once a target is known, or after 3 s; a request that comes earlier waits up to 2 s.

--- a/libs/endivetally-entry/src/endivetally_entry/callers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/callers.py
@@ -24,6 +24,7 @@
 MAX_KEY_LENGTH = 128
 MAX_DEADLINE_MS = 600_000
 BEARER = 'Bearer '
+READY_WAIT_S = 2
 
 
 class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -111,6 +112,7 @@
         raise NotImplementedError
 
     async def _run(self, service_name: str, *, cancel: bool) -> Answer:
+        await self._entry.wait_until_open(READY_WAIT_S)
         request = self._read(service_name, cancel=cancel)
         if cancel:
             return await self._entry.front.cancel(request)
@@ -121,12 +123,12 @@
 
     def _read(self, service_name: str, *, cancel: bool) -> CallerRequest:
         text = self._entry.keeper.text
-        if self._entry.keeper.version == 0:
+        if not self._entry.opened.is_set() or self._entry.keeper.version == 0:
             # An earlier submission of the key may have run elsewhere.
             keyed = 'Idempotency-Key' in self.request.headers
             raise RequestError(
                 ErrorKind.NOT_READY,
-                "no operators' text is in force",
+                self._entry.unready_reason(),
                 ran=RunState.UNKNOWN if keyed else None,
             )
         team = self._entry.team_of_token(self.bearer_token())
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -74,6 +75,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.state = 'starting'
+        self.opened = asyncio.Event()
         self.stack = AsyncExitStack()
         self.shaper = RuleShaper()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -127,6 +129,18 @@
         live = {identity.incarnation for identity in self.known_identities()}
         return [owner.incarnation for owner in former if owner.incarnation not in live]
 
+    def has_targets(self) -> bool:
+        """Return whether any target takes work from here."""
+        pools = self.keeper.text.pools
+        return any(self.scheduler.capacity(pool) for pool in pools)
+
+    async def wait_until_open(self, timeout_s: float) -> None:
+        """Wait for the start to end, for a time at most."""
+        if self.opened.is_set():
+            return
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.opened.wait(), timeout_s)
+
     def unready_reason(self) -> str:
         """Return why the balancer should send no requests, or nothing."""
         if self.state != 'open':
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -30,6 +30,8 @@
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
 START_RETRY_S: Final = 0.5
+TARGETS_WAIT_S: Final = 3
+TARGETS_POLL_S: Final = 0.05
 DRAIN_POLL_S: Final = 0.05
 BALANCER_GRACE_S: Final = 1
 LINGER_S: Final = 0.3
@@ -100,8 +102,8 @@
                 return
             else:
                 break
-        self._entry.state = 'open'
-        _log.info('entry open', extra={'incarnation': self._entry.identity.incarnation})
+        await self._wait_for_targets()
+        self._open()
         await self._refresh_forever()
 
     async def _join(self) -> None:
@@ -117,8 +119,22 @@
                 await self._entry.entry_links.connect_seed(seed)
             except LinkClosed:
                 continue
-        if self._entry.keeper.version:
-            self._entry.state = 'open'
+        if self._entry.has_targets():
+            self._open()
+
+    async def _wait_for_targets(self) -> None:
+        """Give agents the time to join before callers are served."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + TARGETS_WAIT_S
+        while loop.time() < give_up_at and not self._entry.has_targets():
+            await asyncio.sleep(TARGETS_POLL_S)
+
+    def _open(self) -> None:
+        if self._entry.opened.is_set():
+            return
+        self._entry.state = 'open'
+        self._entry.opened.set()
+        _log.info('entry open', extra={'incarnation': self._entry.identity.incarnation})
 
     async def _connect_entries(self) -> None:
         for identity in await self._entry.registry.live():
