--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -36,6 +36,7 @@
 SCAN_RETRY_S: Final = 0.5
 JOIN_TIMEOUT_S: Final = 3
 MAX_JOINS: Final = 16
+JOIN_ERRORS: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
 
 
 class EntryConnector(ABC):
@@ -163,7 +164,7 @@
     async def _join(self, address: Address) -> bool:
         try:
             answer = await self._introduce(address)
-        except (HTTPClientError, OSError, ValueError, msgspec.DecodeError):
+        except JOIN_ERRORS:
             self._counters.joins.increment('failed')
             return False
         self._counters.joins.increment('answered')
--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -99,9 +99,13 @@
         self.running += 1
         return orders
 
-    def refuse(self, entry: str, waiting: int) -> str:
-        """Count a refused dispatch and return who gets its credit, or ''."""
-        if self._use_credit(entry, waiting):
+    def refuse(self, entry: str, waiting: int, *, withhold: bool = False) -> str:
+        """Count a refused dispatch and return who gets its credit, or ''.
+
+        :param withhold: leave the slot free until the next change, since the
+            same dispatch would be refused again.
+        """
+        if self._use_credit(entry, waiting) and not withhold:
             return self._pass_on(entry)
         return ''
 
--- a/libs/endivetally-agent/src/endivetally_agent/tasks.py
+++ b/libs/endivetally-agent/src/endivetally_agent/tasks.py
@@ -171,7 +171,9 @@
 
     def _refuse(self, entry: str, dispatch: Dispatch, reason: Refusal) -> None:
         self._counters.refusals.increment(reason.value)
-        receiver = self.ledger.refuse(entry, dispatch.waiting)
+        receiver = self.ledger.refuse(
+            entry, dispatch.waiting, withhold=reason is Refusal.MEMORY
+        )
         refused = Outcome(dispatch.name, 'refused', reason.value)
         self._report(entry, refused, receiver)
 
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -114,6 +114,16 @@
         assert target.stats.max_concurrent == 8
 
 
+class TestMemory:
+    async def test_a_task_that_does_not_fit_is_refused_without_a_credit(self):
+        async with _deployment() as (entry, agent, _target):
+            agent._tasks.usage.observe_memory(512, 0)
+            agent._tasks.usage.observe_memory(40_000, 1)
+            entry.dispatch(1, {})
+            outcome = await entry.wait_for(Outcome)
+        assert (outcome.reason, outcome.credits) == ('memory', 0)
+
+
 class TestState:
     async def test_a_silent_target_closes_the_gate(self):
         async with _deployment() as (entry, _agent, target):
