Drop bodies of delivered idempotent results; one link for each entry

A lookup may be run again, so its body is of no use once it was posted on a live link. Two addresses that lead to one entry could open two links, of which the end of the first forgot the second.

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -11,6 +11,7 @@
 from typing import Self
 
 from endivetally_config.settings import AgentSettings
+from endivetally_core.errors import LinkClosed
 from endivetally_core.identifiers import new_incarnation
 from endivetally_core.identifiers import rank_by_rendezvous
 from endivetally_core.joining import AgentIdentity
@@ -125,8 +126,15 @@
             self._tasks.fence(entry)
 
     async def serve(self, entry: EntryIdentity, address: str) -> None:
-        """Dial a link and serve it until it ends."""
+        """Dial a link and serve it until it ends.
+
+        :raises LinkClosed: when nobody listens, or another address led to the
+            same entry meanwhile.
+        """
         socket = await dial(address)
+        if self.is_linked(entry.incarnation):
+            socket.close()
+            raise LinkClosed(address)
         link = NngLink(
             socket,
             peer=entry.name,
--- a/libs/endivetally-agent/src/endivetally_agent/records.py
+++ b/libs/endivetally-agent/src/endivetally_agent/records.py
@@ -5,6 +5,7 @@
 name never starts and never counts as not run.
 """
 
+import sys
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -152,8 +153,8 @@
         """Return the record of a task, created if need be, as just changed."""
         request = self._requests.pop((owner, sequence), None)
         if request is None:
-            request = RequestRecord(owner, sequence)
-        self._requests[owner, sequence] = request
+            request = RequestRecord(sys.intern(owner), sequence)
+        self._requests[request.owner, sequence] = request
         request.touched_s = self._clock()
         if number not in request.tasks:
             request.tasks[number] = TaskRecord()
@@ -170,6 +171,8 @@
         task.outcome = outcome
         task.settled = settled
         self._body_bytes += len(outcome.body)
+        if settled:
+            self._drop_body(task)
         self.trim()
 
     def requests_of(self, owner: str) -> list[RequestRecord]:
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -1,6 +1,8 @@
 """Tests of the agent against a fake entry and a stand-in target."""
 
 import asyncio
+import sys
+from contextlib import AsyncExitStack
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -222,6 +224,28 @@
         assert finished.status == 'done'
 
 
+class TestManyTargets:
+    async def test_each_agent_has_a_stand_in_of_its_own(self, tmp_path):
+        async with AsyncExitStack() as stack:
+            agents = [
+                await stack.enter_async_context(Agent(_settings()))
+                for _number in range(2)
+            ]
+            ready = tmp_path / 'ready'
+            arguments = [f'--agent=127.0.0.1:{agent.port}' for agent in agents]
+            arguments += ['--service=lookups', f'--ready-file={ready}']
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, '-m', 'endivetally_standins.target', *arguments
+            )
+            for agent in agents:
+                while agent.unready() != 'no_entry':
+                    await asyncio.sleep(0.02)
+            assert len(ready.read_text().split()) == 2
+            process.terminate()
+            assert await process.wait() == 0
+            assert [agent.unready() for agent in agents] == ['leaving', 'leaving']
+
+
 class TestShortClosing:
     async def test_a_lapse_that_ends_at_once_is_told_and_grants_anew(self):
         async with _deployment() as (entry, agent, target):
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -191,3 +191,4 @@
             gate.finish(_done(_dispatch(sequence)), settled=sequence == 2)
         gate.acknowledge(OWNER, [0])
         assert gate.unsettled(OWNER) == [_done(_dispatch(1))]
+        assert gate._records.body_bytes == 2 * len(b'answer')
