Keep only the number of a delivered idempotent request

Numbers of an owner that is quiet for the retention shrink to a limit, so that replaced entries leave nothing behind.

Dropping only the bodies was tried first: the records themselves are the cost.

--- a/libs/endivetally-agent/src/endivetally_agent/records.py
+++ b/libs/endivetally-agent/src/endivetally_agent/records.py
@@ -18,9 +18,10 @@
 from endivetally_core.messages import TaskName
 
 MAX_BINDINGS: Final = 24_000
-MAX_EXPIRED_PER_OWNER: Final = 10_000
+MAX_EXPIRED_PER_OWNER: Final = 20_000
 BYTES_PER_MB: Final = 1024 * 1024
 LOST_ANSWER: Final = 'answer_lost'
+DONE: Final = 'done'
 
 
 @dataclass(slots=True)
@@ -90,20 +91,28 @@
     def __init__(self) -> None:
         self._below = 0
         self._sequences: set[int] = set()
+        self._touched_s: float = 0
 
     def __contains__(self, sequence: int) -> bool:
         """Whether the record of this sequence may have been dropped."""
         return sequence < self._below or sequence in self._sequences
 
-    def add(self, sequence: int) -> None:
+    def add(self, sequence: int, now_s: float) -> None:
         """Remember a dropped sequence."""
+        self._touched_s = now_s
         self._sequences.add(sequence)
         if len(self._sequences) > MAX_EXPIRED_PER_OWNER:
             self._raise_limit()
 
+    def fold(self, limit_s: float) -> None:
+        """Keep only the limit when nothing was dropped since a time."""
+        if self._sequences and self._touched_s < limit_s:
+            self._below = max(self._sequences) + 1
+            self._sequences.clear()
+
     def _raise_limit(self) -> None:
         ordered = sorted(self._sequences)
-        self._below = ordered[len(ordered) // 2]
+        self._below = ordered[len(ordered) // 4]
         self._sequences = {kept for kept in ordered if kept >= self._below}
 
 
@@ -164,15 +173,16 @@
     def keep(self, outcome: Outcome, *, settled: bool = False) -> None:
         """Store how a started binding ended.
 
-        :param settled: the owner needs no further copy of the outcome.
+        :param settled: the owner needs no further copy of the outcome; nothing
+            but the request's number is kept of it when it is done.
         """
         name = outcome.name
         task = self.touch(name.owner, name.sequence, name.number)
         task.outcome = outcome
         task.settled = settled
         self._body_bytes += len(outcome.body)
-        if settled:
-            self._drop_body(task)
+        if settled and outcome.status == DONE:
+            self._drop(self._requests[name.owner, name.sequence])
         self.trim()
 
     def requests_of(self, owner: str) -> list[RequestRecord]:
@@ -208,6 +218,8 @@
             old.append(request)
         for request in old:
             self._drop(request)
+        for expired in self._expired.values():
+            expired.fold(limit_s)
 
     def _drop_surplus(self, *, acknowledged_only: bool) -> None:
         for request in list(self._requests.values()):
@@ -224,7 +236,7 @@
         for task in request.tasks.values():
             self._body_bytes -= len(task.outcome.body) if task.outcome else 0
         expired = self._expired.setdefault(request.owner, ExpiredRequests())
-        expired.add(request.sequence)
+        expired.add(request.sequence, self._clock())
 
     def _drop_bodies(self, *, acknowledged_only: bool) -> None:
         for request in self._requests.values():
@@ -239,7 +251,7 @@
         if outcome is None or not outcome.body:
             return
         self._body_bytes -= len(outcome.body)
-        reason = LOST_ANSWER if outcome.status == 'done' else outcome.reason
+        reason = LOST_ANSWER if outcome.status == DONE else outcome.reason
         task.outcome = msgspec.structs.replace(outcome, body=b'', reason=reason)
 
 
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -192,3 +192,16 @@
         gate.acknowledge(OWNER, [0])
         assert gate.unsettled(OWNER) == [_done(_dispatch(1))]
         assert gate._records.body_bytes == 2 * len(b'answer')
+        assert gate._records.bindings == 2
+        assert gate.try_start(_dispatch(2)).verdict is Verdict.EXPIRED
+
+    def test_numbers_of_a_quiet_owner_shrink_to_a_limit(self):
+        gate, clock = _gate()
+        for sequence in (3, 7):
+            gate.try_start(_dispatch(sequence))
+            gate.finish(_done(_dispatch(sequence)), settled=True)
+        clock.now_s += 901
+        gate._records.trim()
+        gate.announce(_announcement())
+        assert gate.try_start(_dispatch(7)).verdict is Verdict.EXPIRED
+        assert gate.try_start(_dispatch(8)).verdict is Verdict.STARTED
--- a/tests/agent/test_peers.py
+++ b/tests/agent/test_peers.py
@@ -131,7 +131,8 @@
             async with search:
                 await search.connector.until(lambda: len(search.connector.served) > 2)
 
-    async def test_an_entry_is_learnt_again_after_a_fault_of_ours(self):
+    async def test_an_entry_is_learnt_again_after_a_fault_of_ours(self, monkeypatch):
+        monkeypatch.setattr('endivetally_agent.peers.SCAN_INTERVAL_S', 0.1)
         async with FakeEntry('entry-1') as entry:
             search = _Search(RowsTable(EntryRow(entry.identity)))
             serve = search.connector.serve
