--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -1,6 +1,8 @@
 """Tests of the agent against a fake entry and a stand-in target."""
 
 import asyncio
+import sys
+from contextlib import AsyncExitStack
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -114,6 +116,16 @@
         assert target.stats.max_concurrent == 8
 
 
+class TestMemory:
+    async def test_a_task_that_does_not_fit_is_refused_without_a_credit(self):
+        async with _deployment() as (entry, agent, _target):
+            agent._tasks.usage.observe_memory(512, 0)
+            agent._tasks.usage.observe_memory(40_000, 1)
+            entry.dispatch(1, {})
+            outcome = await entry.wait_for(Outcome)
+        assert (outcome.reason, outcome.credits) == ('memory', 0)
+
+
 class TestState:
     async def test_a_silent_target_closes_the_gate(self):
         async with _deployment() as (entry, _agent, target):
@@ -212,6 +224,28 @@
         assert finished.status == 'done'
 
 
+class TestManyTargets:
+    async def test_each_agent_has_a_stand_in_of_its_own(self, tmp_path):
+        async with AsyncExitStack() as stack:
+            agents = [
+                await stack.enter_async_context(Agent(_settings()))
+                for _number in range(2)
+            ]
+            ready = tmp_path / 'ready'
+            arguments = [f'--agent=127.0.0.1:{agent.port}' for agent in agents]
+            arguments += ['--service=lookups', f'--ready-file={ready}']
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, '-m', 'endivetally_standins.target', *arguments
+            )
+            for agent in agents:
+                while agent.unready() != 'no_entry':
+                    await asyncio.sleep(0.02)
+            assert len(ready.read_text().split()) == 2
+            process.terminate()
+            assert await process.wait() == 0
+            assert [agent.unready() for agent in agents] == ['leaving', 'leaving']
+
+
 class TestShortClosing:
     async def test_a_lapse_that_ends_at_once_is_told_and_grants_anew(self):
         async with _deployment() as (entry, agent, target):
