--- a/libs/endivetally/src/endivetally/bench_report.py
+++ b/libs/endivetally/src/endivetally/bench_report.py
@@ -32,6 +32,7 @@
     :param cpu_ms_per_task: milliseconds of processor time per task, by role.
     :param late_ms: by how much the generator was late.
     :param crashed: names of processes that exited of their own accord.
+    :param offered: load that arrived, by service.
     :param floors: response ratios of one queue for all slots without messages.
     """
 
@@ -45,6 +46,7 @@
     late_ms: Percentiles
     crashed: list[str]
     floors: Mapping[str, Percentiles]
+    offered: Mapping[str, float]
 
 
 def kind_fields(report: KindReport) -> dict[str, object]:
@@ -88,7 +90,7 @@
         'generator_late_ms_p99': report.late_ms.p99,
         'crashed': report.crashed,
         'kinds': {
-            name: {**kind_fields(kind), **_floor_fields(report.floors[name])}
+            name: {**kind_fields(kind), **_floor_fields(report, name)}
             for name, kind in report.kinds.items()
         },
     }
@@ -113,8 +115,13 @@
     return table
 
 
-def _floor_fields(floor: Percentiles) -> dict[str, object]:
-    return {'floor_ratio_p50': floor.p50, 'floor_ratio_p99': floor.p99}
+def _floor_fields(report: RunReport, service: str) -> dict[str, object]:
+    floor = report.floors[service]
+    return {
+        'offered_load': round(report.offered[service], 4),
+        'floor_ratio_p50': floor.p50,
+        'floor_ratio_p99': floor.p99,
+    }
 
 
 def _row(kind: KindReport) -> list[str]:
--- a/libs/endivetally/src/endivetally/bench_run.py
+++ b/libs/endivetally/src/endivetally/bench_run.py
@@ -19,9 +19,10 @@
 from endivetally.fleet_deployment import Deployment
 from endivetally.load import LoadGenerator
 from endivetally.load_floor import floor_ratios
+from endivetally.load_mix import Arrival
 from endivetally.load_mix import plan_arrivals
-from endivetally.load_report import Percentiles
 from endivetally.load_report import late_percentiles
+from endivetally.load_report import offered_load
 from endivetally.load_report import report_kind
 from endivetally.load_report import report_kinds
 from endivetally.load_report import report_starts
@@ -124,22 +125,18 @@
             },
             late_ms=late_percentiles(records),
             crashed=fleet.crashed,
-            floors=self._floors(slots_of, wire_ms),
+            floors={
+                service: floor_ratios(self._of(service), slots, wire_ms)
+                for service, slots in slots_of.items()
+            },
+            offered={
+                service: offered_load(self._of(service), slots, self._plan.seconds)
+                for service, slots in slots_of.items()
+            },
         )
 
-    def _floors(
-        self,
-        slots_of: Mapping[str, int],
-        wire_ms: float,
-    ) -> dict[str, Percentiles]:
-        return {
-            service: floor_ratios(
-                [due for due in self._arrivals if due.service == service],
-                slots,
-                wire_ms,
-            )
-            for service, slots in slots_of.items()
-        }
+    def _of(self, service: str) -> list[Arrival]:
+        return [arrival for arrival in self._arrivals if arrival.service == service]
 
     def _capacity(self, records: Mapping[str, LoadRecord], slots: int) -> Capacity:
         seconds = self._plan.seconds
--- a/libs/endivetally/src/endivetally/load_report.py
+++ b/libs/endivetally/src/endivetally/load_report.py
@@ -126,6 +126,18 @@
     )
 
 
+def offered_load(arrivals: Iterable[Arrival], slots: int, seconds: float) -> float:
+    """Return the run time that arrived over the time of the slots.
+
+    It differs from the load asked for, the more the shorter the run.
+
+    >>> offered_load([Arrival(0, 's', ServiceKind.JOB, 'k', [500, 500])], 2, 1)
+    0.5
+    """
+    run_ms = sum(sum(arrival.run_ms) for arrival in arrivals)
+    return run_ms / (slots * seconds * 1000)
+
+
 def report_kinds(
     arrivals: list[Arrival],
     records: Mapping[str, LoadRecord],
