--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -18,13 +19,13 @@
 from endivetally_core.joining import EntryIdentity
 from endivetally_core.joining import JoinAnswer
 from endivetally_core.joining import JoinRequest
+from endivetally_table.entries import scan_entries
 from endivetally_table.table import Table
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from endivetally_agent.counters import AgentCounters
-from endivetally_agent.rows import scan_entries
 
 logger: Final = logging.getLogger(__name__)
 
@@ -94,7 +95,6 @@
         self._table = table
         self._counters = counters
         self._known: dict[Address, asyncio.Task[None]] = {}
-        self._closing = False
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_JOINS)
 
     @property
@@ -114,8 +114,6 @@
 
     async def close(self) -> None:
         """End all tasks and release the connections."""
-        # A receiving pynng socket turns a cancellation into a closed link.
-        self._closing = True
         tasks = list(self._known.values())
         for task in tasks:
             task.cancel()
@@ -127,6 +125,7 @@
         if address not in self._known:
             task = asyncio.get_running_loop().create_task(self._keep(address))
             self._known[address] = task
+            task.add_done_callback(functools.partial(self._forget, address))
 
     async def _search(self) -> None:
         if self._table is not None:
@@ -138,8 +137,8 @@
     async def _scan(self, table: Table) -> None:
         try:
             rows = await scan_entries(table)
-        except TableUnavailable:
-            self._counters.table_failures += 1
+        except (TableUnavailable, msgspec.DecodeError):
+            self._counters.table_failures.increment()
             return
         for row in rows:
             if row.state == 'live':
@@ -154,19 +153,20 @@
             if await self._join(address):
                 reached_s = time.monotonic()
                 backoff.reset()
-            if self._closing:
-                return
             await backoff.wait()
-        logger.info('entry forgotten', extra={'address': str(address)})
+
+    def _forget(self, address: Address, task: asyncio.Task[None]) -> None:
         self._known.pop(address, None)
+        error = None if task.cancelled() else task.exception()
+        logger.info('entry forgotten', extra={'address': str(address)}, exc_info=error)
 
     async def _join(self, address: Address) -> bool:
         try:
             answer = await self._introduce(address)
-        except (HTTPClientError, OSError, msgspec.DecodeError):
-            self._counters.join_failures += 1
+        except (HTTPClientError, OSError, ValueError, msgspec.DecodeError):
+            self._counters.joins.increment('failed')
             return False
-        self._counters.joins += 1
+        self._counters.joins.increment('answered')
         for known in answer.entries:
             self.learn(known.address)
         for fenced in answer.fenced:
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -47,7 +47,8 @@
 
     :param kind: ``idempotent``, ``non-idempotent`` or ``job``.
     :param deadline_ms: milliseconds left at sending.
-    :param waiting: tasks of the service that wait at the sender for a slot.
+    :param waiting: tasks of the pool that wait at the sender for a slot.
+    :param pool: pool of targets; empty when it is named as the service.
     """
 
     name: TaskName
@@ -56,6 +57,12 @@
     payload: bytes
     deadline_ms: Count
     waiting: Count = 0
+    pool: str = ''
+
+    @property
+    def target_pool(self) -> str:
+        """Name that a target must have announced to run the task."""
+        return self.pool or self.service
 
 
 class Outcome(Message, frozen=True, tag='outcome'):
@@ -165,7 +172,7 @@
     """Entry to entry and entry to agent: heartbeat.
 
     :param state: ``open`` or ``leaving``.
-    :param usage: tasks asked for per team and second.
+    :param usage: task starts a second that callers of each team asked for.
     :param map_version: version of the shard map that the sender knows.
     """
 
