--- a/libs/endivetally/src/endivetally/scenario.py
+++ b/libs/endivetally/src/endivetally/scenario.py
@@ -41,6 +41,10 @@
         int,
         typer.Option(min=1, help='Fleets at once.'),
     ] = FLEETS_AT_ONCE,
+    logs: Annotated[
+        Path | None,
+        typer.Option(help='Directory that receives the logs of the fleets.'),
+    ] = None,
     verbose: Annotated[bool, typer.Option(help='Log each step.')] = False,
     as_json: Annotated[bool, typer.Option('--json', help='Print JSON.')] = False,
 ) -> None:
@@ -53,7 +57,7 @@
         format='%(asctime)s %(message)s',
     )
     scenarios = [_read(file) for file in files]
-    reports = asyncio.run(_run_all(scenarios, files, seed, jobs))
+    reports = asyncio.run(_run_all(scenarios, files, seed, jobs, logs))
     if as_json:
         typer.echo(json.dumps(msgspec.to_builtins(reports), indent=2))
     else:
@@ -67,10 +71,11 @@
     files: list[Path],
     seed: int,
     jobs: int,
+    logs: Path | None,
 ) -> list[ScenarioReport]:
     slots = asyncio.Semaphore(jobs)
     runs = [
-        _run_one(scenario, file, seed, slots)
+        _run_one(scenario, file, seed, slots, logs)
         for scenario, file in zip(scenarios, files, strict=True)
     ]
     return await asyncio.gather(*runs)
@@ -81,9 +86,10 @@
     file: Path,
     seed: int,
     slots: asyncio.Semaphore,
+    logs: Path | None,
 ) -> ScenarioReport:
     async with slots:
-        report = await run_scenario(scenario, str(file), seed)
+        report = await run_scenario(scenario, file, seed, logs)
     verdict = 'passed' if report.passed else 'FAILED'
     typer.echo(f'{verdict} in {report.seconds:.1f} s: {report.name}', err=True)
     return report
