Name the failures of a join

Cause: the style check counts four exceptions in one clause. Ruled out: a wider clause, which would hide faults. Conclusion: one named tuple.

--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -37,6 +37,12 @@
 JOIN_TIMEOUT_S: Final = 3
 MAX_JOINS: Final = 16
 JOIN_ERRORS: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
+JOIN_FAILURES: Final = (
+    HTTPClientError,
+    OSError,
+    ValueError,
+    msgspec.DecodeError,
+)
 
 
 class EntryConnector(ABC):
