Hold frames during a cut instead of dropping them

A cut dropped single frames on a link that stayed open, which a TCP connection never does: after a cut that ended before the link was given up, results were lost for good and callers waited until their deadline. A cut link now keeps its frames until the cut or the link ends.

--- a/libs/endivetally-core/src/endivetally_core/links.py
+++ b/libs/endivetally-core/src/endivetally_core/links.py
@@ -24,12 +24,14 @@
 from endivetally_core.messages import decode_frame
 from endivetally_core.messages import encode_frame
 from endivetally_core.shaping import IMMEDIATE
+from endivetally_core.shaping import Delivery
 from endivetally_core.shaping import NoShaping
 from endivetally_core.shaping import Shaper
 
 SOCKET_BUFFER_FRAMES: Final = 128
 DIAL_TIMEOUT_MS: Final = 2000
 ACCEPT_TIMEOUT_S: Final = 5
+CUT_POLL_S: Final = 0.02
 
 
 class LinkCounters:
@@ -171,13 +173,21 @@
     async def _send(self, encoded: bytes) -> None:
         self._counters.frames += 1
         self._counters.bytes += len(encoded)
-        delivery = self._shaper.shape(self.peer, self.data_centre)
+        delivery = await self._next_delivery()
         if delivery is IMMEDIATE:
             await self._send_now(encoded)
             return
         for delay_s in delivery.delays_s:
             self._loop.call_later(delay_s, self._send_later, encoded)
 
+    async def _next_delivery(self) -> Delivery:
+        """Hold frames during a cut, as a connection would."""
+        delivery = self._shaper.shape(self.peer, self.data_centre)
+        while not delivery.delays_s:
+            await asyncio.sleep(CUT_POLL_S)
+            delivery = self._shaper.shape(self.peer, self.data_centre)
+        return delivery
+
     async def _send_now(self, encoded: bytes) -> None:
         try:
             await self._socket.asend(encoded)
--- a/libs/endivetally-core/src/endivetally_core/shaping.py
+++ b/libs/endivetally-core/src/endivetally_core/shaping.py
@@ -16,7 +16,7 @@
 class Delivery:
     """What happens to one frame.
 
-    :param delays_s: seconds before each copy is sent; empty drops the frame.
+    :param delays_s: seconds before each copy is sent; empty holds the frame.
     """
 
     delays_s: tuple[float, ...] = (0,)
@@ -29,7 +29,7 @@
     """Rule for frames to the peers whose name starts with a prefix.
 
     :param peer: prefix of the peer's process name or data centre.
-    :param cut: drop every frame.
+    :param cut: hold every frame until the cut or the link ends, as TCP would.
     :param delay_ms: one-way latency added to each frame.
     :param jitter_ms: random extra delay; above the gap between frames it
         reorders them.
--- a/tests/core/test_links.py
+++ b/tests/core/test_links.py
@@ -60,6 +60,32 @@
         far.close()
 
 
+    async def test_a_cut_holds_frames_in_order_until_it_ends(self):
+        shaper = RuleShaper()
+        shaper.replace((ShapingRule('peer-1', cut=True),))
+        near, far = await _connected_links(shaper)
+        near.post(Grant(1))
+        receiver = asyncio.ensure_future(far.receive())
+        await asyncio.sleep(0.1)
+        assert not receiver.done()
+        near.post(Grant(2))
+        shaper.replace(())
+        frames = [await receiver, await far.receive()]
+        assert [frame.messages for frame in frames] == [[Grant(1)], [Grant(2)]]
+        near.close()
+        far.close()
+
+    async def test_a_cut_link_can_be_closed(self):
+        shaper = RuleShaper()
+        shaper.replace((ShapingRule('dc-1', cut=True),))
+        near, far = await _connected_links(shaper)
+        near.post(Grant(1))
+        await asyncio.sleep(0)
+        near.close()
+        await near.flush()
+        far.close()
+
+
 class TestCancellation:
     async def test_a_receiver_of_a_closing_link_ends_as_cancelled(self):
         near, far = await _connected_links()
