--- a/libs/endivetally/src/endivetally/bench_report.py
+++ b/libs/endivetally/src/endivetally/bench_report.py
@@ -32,7 +32,7 @@
     :param cpu_ms_per_task: milliseconds of processor time per task, by role.
     :param late_ms: by how much the generator was late.
     :param crashed: names of processes that exited of their own accord.
-    :param offered: load that arrived, by service.
+    :param offered: load that arrived, over all slots.
     :param floors: response ratios of one queue for all slots without messages.
     """
 
@@ -46,7 +46,7 @@
     late_ms: Percentiles
     crashed: list[str]
     floors: Mapping[str, Percentiles]
-    offered: Mapping[str, float]
+    offered: float
 
 
 def kind_fields(report: KindReport) -> dict[str, object]:
@@ -73,6 +73,7 @@
         **kind_fields(report.overall),
         'message_ratio': round(report.costs.message_ratio, 4),
         'control_ratio': round(report.costs.control_ratio, 4),
+        'offered_load': round(report.offered, 4),
         'goodput': round(report.capacity.goodput, 2),
         'useful_share': round(report.capacity.useful_share, 4),
         'tasks_done': report.starts.tasks_done,
@@ -116,9 +117,10 @@
 
 
 def _floor_fields(report: RunReport, service: str) -> dict[str, object]:
-    floor = report.floors[service]
+    floor = report.floors.get(service)
+    if floor is None:
+        return {}
     return {
-        'offered_load': round(report.offered[service], 4),
         'floor_ratio_p50': floor.p50,
         'floor_ratio_p99': floor.p99,
     }
--- a/libs/endivetally/src/endivetally/bench_run.py
+++ b/libs/endivetally/src/endivetally/bench_run.py
@@ -19,8 +19,8 @@
 from endivetally.fleet_deployment import Deployment
 from endivetally.load import LoadGenerator
 from endivetally.load_floor import floor_ratios
-from endivetally.load_mix import Arrival
 from endivetally.load_mix import plan_arrivals
+from endivetally.load_report import Percentiles
 from endivetally.load_report import late_percentiles
 from endivetally.load_report import offered_load
 from endivetally.load_report import report_kind
@@ -65,6 +65,11 @@
             seed=plan.seed,
         )
 
+    @property
+    def _slots(self) -> int:
+        deployment = self._plan.deployment
+        return deployment.slots * len(deployment.workers)
+
     async def run(self) -> RunReport:
         """Start the fleet, send the load and return the report."""
         async with AsyncExitStack() as stack:
@@ -117,7 +122,7 @@
             kinds=report_kinds(self._arrivals, by_key, slots_of, wire_ms),
             starts=starts,
             costs=message_costs(probe.messages, starts.tasks_done),
-            capacity=self._capacity(by_key, sum(slots_of.values())),
+            capacity=self._capacity(by_key),
             wire_ms=wire_ms,
             cpu_ms_per_task={
                 role: cpu_s * _MS_PER_S / max(starts.tasks_done, 1)
@@ -125,23 +130,23 @@
             },
             late_ms=late_percentiles(records),
             crashed=fleet.crashed,
-            floors={
-                service: floor_ratios(self._of(service), slots, wire_ms)
-                for service, slots in slots_of.items()
-            },
-            offered={
-                service: offered_load(self._of(service), slots, self._plan.seconds)
-                for service, slots in slots_of.items()
-            },
+            floors=self._floors(wire_ms),
+            offered=offered_load(self._arrivals, self._slots, self._plan.seconds),
         )
 
-    def _of(self, service: str) -> list[Arrival]:
-        return [arrival for arrival in self._arrivals if arrival.service == service]
+    def _floors(self, wire_ms: float) -> dict[str, Percentiles]:
+        deployment = self._plan.deployment
+        pool_of = {each.name: each.target_pool for each in deployment.text.services}
+        floors: dict[str, Percentiles] = {}
+        for pool in set(pool_of.values()):
+            arrivals = [due for due in self._arrivals if pool_of[due.service] == pool]
+            floors.update(floor_ratios(arrivals, deployment.slots_of(pool), wire_ms))
+        return floors
 
-    def _capacity(self, records: Mapping[str, LoadRecord], slots: int) -> Capacity:
+    def _capacity(self, records: Mapping[str, LoadRecord]) -> Capacity:
         seconds = self._plan.seconds
         run_ms = tasks_whole_within(self._arrivals, records, seconds)
         return Capacity(
             goodput=len(run_ms) / seconds,
-            useful_share=sum(run_ms) / (slots * seconds * _MS_PER_S),
+            useful_share=sum(run_ms) / (self._slots * seconds * _MS_PER_S),
         )
--- a/libs/endivetally/src/endivetally/load_floor.py
+++ b/libs/endivetally/src/endivetally/load_floor.py
@@ -1,6 +1,6 @@
 """Response ratios that no dispatcher without knowledge of run times avoids.
 
-One queue, first come first served, feeds all slots of a service; nothing takes
+One queue, first come first served, feeds all slots of a pool; nothing takes
 time but the tasks and the wire. Only shorter tasks before longer ones could do
 better, and nobody knows run times beforehand.
 """
@@ -22,19 +22,22 @@
     arrivals: list[Arrival],
     slots: int,
     wire_ms: float,
-) -> Percentiles:
-    """Return the ratios of one queue over all slots of a service.
+) -> dict[str, Percentiles]:
+    """Return the ratios of one queue over all slots of a pool, by service.
 
-    :param arrivals: requests of one service, in order of time.
+    :param arrivals: requests of all services of the pool, in order of time.
     """
     free_at_ms = [float(0) for _ in range(slots)]
-    ratios = new_histogram()
+    ratios = {arrival.service: new_histogram() for arrival in arrivals}
     for arrival in arrivals:
         ended_ms = _run_tasks(arrival, free_at_ms)
         response_ms = ended_ms - arrival.at_s * _MS_PER_S + wire_ms
         ratio = response_ms / ideal_ms(arrival, slots, wire_ms)
-        ratios.record_value(round(ratio * RATIO_SCALE))
-    return percentiles(ratios, RATIO_SCALE)
+        ratios[arrival.service].record_value(round(ratio * RATIO_SCALE))
+    return {
+        service: percentiles(histogram, RATIO_SCALE)
+        for service, histogram in ratios.items()
+    }
 
 
 def _run_tasks(arrival: Arrival, free_at_ms: list[float]) -> float:
--- a/tests/bench/test_load_report.py
+++ b/tests/bench/test_load_report.py
@@ -126,7 +126,7 @@
 class TestFloor:
     def test_one_queue_over_all_slots(self) -> None:
         waits = Arrival(0.1, 'sweeps', ServiceKind.JOB, 'w', [100])
-        floor = floor_ratios([SWEEP, waits], slots=2, wire_ms=0)
+        floor = floor_ratios([SWEEP, waits], slots=2, wire_ms=0)['sweeps']
         assert floor.p50 == pytest.approx(1, rel=0.01)
-        floor = floor_ratios([SWEEP, waits], slots=1, wire_ms=0)
+        floor = floor_ratios([SWEEP, waits], slots=1, wire_ms=0)['sweeps']
         assert floor.highest == pytest.approx(3, rel=0.01)
