--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -38,7 +38,7 @@
 JOIN_SPREAD_S: Final = 10
 JOIN_TIMEOUT_S: Final = 3
 MAX_JOINS: Final = 16
-JOIN_FAILURES: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
+JOIN_ERRORS: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
 
 
 class EntryConnector(ABC):
@@ -191,7 +191,7 @@
     async def _join(self, address: Address) -> bool:
         try:
             answer = await self._introduce(address)
-        except JOIN_FAILURES:
+        except JOIN_ERRORS:
             self._counters.joins.increment('failed')
             return False
         self._counters.joins.increment('answered')
--- a/libs/endivetally/src/endivetally/bench_report.py
+++ b/libs/endivetally/src/endivetally/bench_report.py
@@ -32,6 +32,7 @@
     :param cpu_ms_per_task: milliseconds of processor time per task, by role.
     :param late_ms: by how much the generator was late.
     :param crashed: names of processes that exited of their own accord.
+    :param offered: load that arrived, over all slots.
     :param floors: response ratios of one queue for all slots without messages.
     """
 
@@ -45,6 +46,7 @@
     late_ms: Percentiles
     crashed: list[str]
     floors: Mapping[str, Percentiles]
+    offered: float
 
 
 def kind_fields(report: KindReport) -> dict[str, object]:
@@ -71,6 +73,7 @@
         **kind_fields(report.overall),
         'message_ratio': round(report.costs.message_ratio, 4),
         'control_ratio': round(report.costs.control_ratio, 4),
+        'offered_load': round(report.offered, 4),
         'goodput': round(report.capacity.goodput, 2),
         'useful_share': round(report.capacity.useful_share, 4),
         'tasks_done': report.starts.tasks_done,
@@ -88,7 +91,7 @@
         'generator_late_ms_p99': report.late_ms.p99,
         'crashed': report.crashed,
         'kinds': {
-            name: {**kind_fields(kind), **_floor_fields(report.floors[name])}
+            name: {**kind_fields(kind), **_floor_fields(report, name)}
             for name, kind in report.kinds.items()
         },
     }
@@ -113,8 +116,14 @@
     return table
 
 
-def _floor_fields(floor: Percentiles) -> dict[str, object]:
-    return {'floor_ratio_p50': floor.p50, 'floor_ratio_p99': floor.p99}
+def _floor_fields(report: RunReport, service: str) -> dict[str, object]:
+    floor = report.floors.get(service)
+    if floor is None:
+        return {}
+    return {
+        'floor_ratio_p50': floor.p50,
+        'floor_ratio_p99': floor.p99,
+    }
 
 
 def _row(kind: KindReport) -> list[str]:
