Let two entries watch an agent and answer every third heartbeat

Cause: with headers of TCP and IP, 120 watched agents and an answer to each heartbeat take more than the 21 KB/s of an entry's control.

Ruled out: a heartbeat every 2 s (a silent agent would get work for 6 s). Losing both watchers together with the agent is covered by the probe of an agent that has work. A frozen watcher is noticed by an agent within 3 s + 4 s.

--- a/libs/endivetally-agent/src/endivetally_agent/watchers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/watchers.py
@@ -1,8 +1,9 @@
 """Heartbeats to a few entries, and the silence of entries.
 
 An agent has links to all entries but heartbeats only those that watch it, so
-that the cost of control does not grow with the number of entries. Another
-entry is probed when it holds credits that it does not use while tasks wait.
+that the cost of control does not grow with the number of entries. Some of the
+heartbeats ask for an answer. Another entry is probed when it holds credits that
+it does not use while its tasks wait.
 """
 
 import logging
@@ -19,11 +20,12 @@
 
 logger: Final = logging.getLogger(__name__)
 
-WATCHERS: Final = 3
+WATCHERS: Final = 2
+BEATS_PER_PROBE: Final = 3
 PROBE_AFTER_S: Final = 2
 ENTRY_SILENCE_S: Final = 4
 FROZEN_GAP_S: Final = 2.5
-ANSWERED: Final = frozenset((Watch.ON, Watch.PROBE))
+ANSWERED: Final = frozenset((Watch.ON_PROBE, Watch.PROBE))
 
 
 class Watchers:
@@ -45,24 +47,28 @@
         self._tasks = tasks
         self._clock = clock
         self._watchers: frozenset[str] = frozenset()
-        self._expected: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
+        self._beats = 0
         self._last_beat = clock()
 
     def greet(self, entry: str) -> None:
         """Send the state over a new link, as a heartbeat if its entry watches."""
         self._choose()
-        self._send(entry, Watch.ON if entry in self._watchers else Watch.UNCHANGED)
+        watched = entry in self._watchers
+        self._send(entry, Watch.ON_PROBE if watched else Watch.UNCHANGED)
 
     def beat(self) -> None:
         """Send heartbeats and close the links of silent entries."""
         now = self._clock()
         if now - self._last_beat > FROZEN_GAP_S:
             # This process was stopped; it has heard nobody.
-            self._expected = dict.fromkeys(self._expected, now)
+            self._probed_at.clear()
         self._last_beat = now
         self._choose()
+        probing = self._beats % BEATS_PER_PROBE == 0
+        self._beats += 1
         for entry in self._watchers:
-            self._send(entry, Watch.ON)
+            self._send(entry, Watch.ON_PROBE if probing else Watch.ON)
         self._probe_holders(now)
         self._close_silent(now)
 
@@ -71,31 +77,24 @@
         chosen = frozenset(ranked[:WATCHERS])
         for former in self._watchers - chosen:
             self._send(former, Watch.OFF)
-            self._expected.pop(former, None)
         self._watchers = chosen
 
     def _send(self, entry: str, watch: Watch) -> None:
         state = msgspec.structs.replace(self._tasks.state, watch=watch)
         if self._links.post(entry, state) and watch in ANSWERED:
-            self._expected.setdefault(entry, self._clock())
+            self._probed_at.setdefault(entry, self._clock())
 
     def _probe_holders(self, now: float) -> None:
         for entry in self._tasks.ledger.holders_in_need:
             unheard_s = now - self._links.heard_at(entry)
-            if entry not in self._expected and unheard_s > PROBE_AFTER_S:
+            if entry not in self._watchers and unheard_s > PROBE_AFTER_S:
                 self._send(entry, Watch.PROBE)
 
     def _close_silent(self, now: float) -> None:
-        for entry, since in list(self._expected.items()):
-            heard_at = self._links.heard_at(entry)
-            if self._is_settled(entry, heard_at > since):
-                self._expected.pop(entry)
-            elif now - max(heard_at, since) > ENTRY_SILENCE_S:
-                self._expected.pop(entry)
+        for entry, probed_at in list(self._probed_at.items()):
+            if entry not in self._links or self._links.heard_at(entry) > probed_at:
+                self._probed_at.pop(entry)
+            elif now - probed_at > ENTRY_SILENCE_S:
+                self._probed_at.pop(entry)
                 logger.warning('entry silent', extra={'entry': entry})
                 self._links.close(entry)
-
-    def _is_settled(self, entry: str, answered: bool) -> bool:
-        if entry not in self._links:
-            return True
-        return answered and entry not in self._watchers
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -120,7 +120,7 @@
     :param state: ``open``, ``leaving`` (no new work) or ``closed``.
     :param running: tasks at the target.
     :param memory_mb: the target's resident memory as last reported.
-    :param watch: ``ON`` in every heartbeat to an entry that watches the agent.
+    :param watch: ``ON`` or ``ON_PROBE`` in a heartbeat to an entry that watches.
     """
 
     state: Identifier
--- a/libs/endivetally-core/src/endivetally_core/wire.py
+++ b/libs/endivetally-core/src/endivetally_core/wire.py
@@ -12,10 +12,11 @@
 class Watch(StrEnum):
     """What a state says about who watches the agent.
 
-    An entry answers ``ON`` and ``PROBE`` with an `EntryState`.
+    An entry answers ``ON_PROBE`` and ``PROBE`` with an `EntryState`.
     """
 
     UNCHANGED = ''
     ON = 'on'
+    ON_PROBE = 'on_probe'
     OFF = 'off'
     PROBE = 'probe'
--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -41,6 +41,8 @@
 SILENCE_S = 3
 PROBE_AFTER_S = 1
 NEWS_DELAY_S = 1.5
+STARTS_WATCH = frozenset((Watch.ON, Watch.ON_PROBE))
+ANSWERED = frozenset((Watch.ON_PROBE, Watch.PROBE))
 ADMISSION_RETRY_S = 1
 
 
@@ -146,9 +148,11 @@
 
     def state_received(self, known: 'KnownAgent', message: AgentState) -> None:
         """Note the state that an agent reports, and answer a heartbeat."""
-        if message.watch in {Watch.ON, Watch.OFF}:
-            known.watched = message.watch is Watch.ON
-        if message.watch in {Watch.ON, Watch.PROBE}:
+        if message.watch in STARTS_WATCH:
+            known.watched = True
+        elif message.watch is Watch.OFF:
+            known.watched = False
+        if message.watch in ANSWERED:
             self._roster.post(known.identity.incarnation, self._describe())
         known.running = message.running
         known.memory_mb = message.memory_mb
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/caller.py
@@ -0,0 +1,81 @@
+"""Submits jobs and requests to one entry, a bounded number at a time."""
+
+import asyncio
+import itertools
+import json
+from typing import Final
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from endivetally.fleet import Fleet
+from endivetally.fleet_process import FleetError
+
+JOB_SERVICE: Final = 'sweeps'
+LOOKUP_SERVICE: Final = 'lookups'
+NOTE_SERVICE: Final = 'notes'
+REQUEST_TIMEOUT_S: Final = 60
+MAX_OPEN: Final = 256
+_HTTP_OK: Final = 200
+
+
+class CapacityCaller:
+    """A caller of the first entry of a fleet.
+
+    :param fleet: a running fleet.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._url = f'{fleet.entries[0].url}/v1/services'
+        self._token = fleet.deployment.token
+        self._keys = itertools.count()
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=MAX_OPEN)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def submit_job(self, tasks: int, run_ms: float = 0) -> None:
+        """Submit a job and wait for its whole answer.
+
+        :raises FleetError: when it is not answered whole.
+        """
+        task = {'run_ms': run_ms}
+        body = json.dumps({'tasks': [task] * tasks})
+        await self._post(f'{JOB_SERVICE}/jobs', body)
+
+    async def submit_request(self, service: str) -> None:
+        """Submit a single request and wait for its answer.
+
+        :raises FleetError: when it fails.
+        """
+        await self._post(f'{service}/requests', json.dumps({'run_ms': 0}))
+
+    async def submit_jobs(self, count: int, tasks: int, at_once: int) -> None:
+        """Submit jobs of one size, some at once, until all are answered."""
+        left = itertools.repeat(None, count)
+
+        async def submit_next() -> None:
+            for _ in left:
+                await self.submit_job(tasks)
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(at_once):
+                group.create_task(submit_next())
+
+    async def _post(self, path: str, body: str) -> None:
+        headers = {
+            'Authorization': f'Bearer {self._token}',
+            'Idempotency-Key': f'capacity-{next(self._keys)}',
+            'Content-Type': 'application/json',
+        }
+        request = HTTPRequest(
+            f'{self._url}/{path}',
+            method='POST',
+            body=body,
+            headers=headers,
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        if response.code != _HTTP_OK:
+            raise FleetError(f'{path} answered {response.code}: {response.body!r}')
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/table_cost.py
@@ -0,0 +1,101 @@
+"""Writes and reads of the table service against load, and time of a takeover."""
+
+import asyncio
+import time
+from contextlib import closing
+from typing import Final
+
+import msgspec
+from endivetally_table.memory import TableStats
+
+from endivetally.capacity.caller import CapacityCaller
+from endivetally.capacity.fits import Point
+from endivetally.capacity.recording import Slope
+from endivetally.capacity.recording import make_slope
+from endivetally.capacity.stage import staged_fleet
+from endivetally.fleet import Fleet
+
+WORKERS: Final = 2
+JOB_RATES: Final = (10, 25, 50, 100, 150)
+RATE_S: Final = 6
+ENTRY_COUNTS: Final = (1, 2, 4, 8, 16)
+IDLE_S: Final = 20
+JOURNAL_JOBS: Final = (0, 500, 1000, 2000)
+JOBS_AT_ONCE: Final = 16
+POLL_S: Final = 0.02
+TAKEOVER_TIMEOUT_S: Final = 60
+
+
+async def read_stats(fleet: Fleet) -> TableStats:
+    """Read the counts of the stand-in of the table service."""
+    response = await fleet.client.get(f'{fleet.table.url}/stats')
+    return msgspec.json.decode(response.body, type=TableStats)
+
+
+async def measure_journal() -> list[Slope]:
+    """Measure writes and rows a second against jobs a second at one entry."""
+    writes: list[Point] = []
+    rows: list[Point] = []
+    async with staged_fleet(entries=1, workers=WORKERS) as fleet:
+        with closing(CapacityCaller(fleet)) as caller:
+            for rate in JOB_RATES:
+                before = await read_stats(fleet)
+                await _submit_at(caller, rate)
+                after = await read_stats(fleet)
+                writes.append(Point(rate, (after.writes - before.writes) / RATE_S))
+                rows.append(Point(rate, (after.rows - before.rows) / RATE_S))
+    per = 'jobs/s at one entry'
+    return [
+        make_slope('table.journal.writes', 'writes/s', per, 'journal', writes),
+        make_slope('table.journal.rows', 'rows/s', per, 'journal', rows),
+    ]
+
+
+async def measure_idle_reads() -> list[Slope]:
+    """Measure reads and writes a second against idle entries."""
+    reads: list[Point] = []
+    writes: list[Point] = []
+    for entries in ENTRY_COUNTS:
+        async with staged_fleet(entries) as fleet:
+            before = await read_stats(fleet)
+            await asyncio.sleep(IDLE_S)
+            after = await read_stats(fleet)
+            reads.append(Point(entries, (after.reads - before.reads) / IDLE_S))
+            writes.append(Point(entries, (after.writes - before.writes) / IDLE_S))
+    per = 'idle entries'
+    return [
+        make_slope('table.idle.reads', 'reads/s', per, 'idle', reads),
+        make_slope('table.idle.writes', 'writes/s', per, 'idle', writes),
+    ]
+
+
+async def measure_takeover() -> list[Slope]:
+    """Measure the time of a takeover against the dead entry's journal."""
+    seconds: list[Point] = []
+    for jobs in JOURNAL_JOBS:
+        async with staged_fleet(entries=2, workers=WORKERS) as fleet:
+            with closing(CapacityCaller(fleet)) as caller:
+                await caller.submit_jobs(jobs, 1, JOBS_AT_ONCE)
+            seconds.append(Point(jobs, await _take_over(fleet)))
+    return [make_slope('takeover.seconds', 's', 'journalled jobs', 'takeover', seconds)]
+
+
+async def _take_over(fleet: Fleet) -> float:
+    dead, survivor = fleet.entries
+    status = await fleet.client.status(survivor.url)
+    owned = status.shards if status else 0
+    started = time.monotonic()
+    await dead.kill()
+    async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
+        while True:
+            status = await fleet.client.status(survivor.url)
+            if status is not None and status.shards > owned:
+                return time.monotonic() - started
+            await asyncio.sleep(POLL_S)
+
+
+async def _submit_at(caller: CapacityCaller, rate: int) -> None:
+    async with asyncio.TaskGroup() as group:
+        for _ in range(round(rate * RATE_S)):
+            group.create_task(caller.submit_job(1))
+            await asyncio.sleep(1 / rate)
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/work_cost.py
@@ -0,0 +1,144 @@
+"""Processor time and memory of requests, jobs and tasks."""
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import closing
+from typing import Final
+
+from endivetally.capacity.caller import LOOKUP_SERVICE
+from endivetally.capacity.caller import NOTE_SERVICE
+from endivetally.capacity.caller import CapacityCaller
+from endivetally.capacity.fits import Point
+from endivetally.capacity.processes import read_process
+from endivetally.capacity.processes import read_totals
+from endivetally.capacity.recording import Slope
+from endivetally.capacity.recording import make_slope
+from endivetally.capacity.stage import staged_fleet
+from endivetally.fleet import Fleet
+from endivetally.fleet_process import FleetProcess
+
+RUN: Final = 'work'
+WORKERS: Final = 4
+WARM_UP_JOBS: Final = 5
+# Tasks in a job, and jobs of that size.
+JOB_SIZES: Final = ((1, 1600), (50, 100), (200, 30), (600, 10), (1800, 4))
+JOBS_AT_ONCE: Final = 8
+REQUEST_COUNTS: Final = (250, 500, 1000, 2000)
+REQUESTS_AT_ONCE: Final = 8
+OPEN_TASKS: Final = (0, 900, 1800, 3600, 7200)
+OPEN_JOB_TASKS: Final = 450
+OPEN_TASK_MS: Final = 20_000
+OPEN_SETTLE_S: Final = 2
+MS_PER_S: Final = 1000
+
+
+class CpuMeter:
+    """Processor time of some processes since the start of the meter."""
+
+    def __init__(self, processes: Sequence[FleetProcess]) -> None:
+        self._processes = processes
+        self._before_s = self._read_s()
+
+    @property
+    def spent_ms(self) -> float:
+        """Milliseconds spent by all of them."""
+        return (self._read_s() - self._before_s) * MS_PER_S
+
+    def _read_s(self) -> float:
+        return sum(read_process(process.pid).cpu_s for process in self._processes)
+
+
+async def measure_jobs() -> list[Slope]:
+    """Measure processor time per job against its number of tasks."""
+    entry_points: list[Point] = []
+    agent_points: list[Point] = []
+    frame_points: list[Point] = []
+    async with staged_fleet(entries=1, workers=WORKERS) as fleet:
+        with closing(CapacityCaller(fleet)) as caller:
+            await caller.submit_jobs(WARM_UP_JOBS, OPEN_JOB_TASKS, at_once=1)
+            for tasks, jobs in JOB_SIZES:
+                frames = await _frames(fleet)
+                entry, agents = CpuMeter(fleet.entries), CpuMeter(fleet.agents)
+                await caller.submit_jobs(jobs, tasks, JOBS_AT_ONCE)
+                entry_points.append(Point(tasks, entry.spent_ms / jobs))
+                agent_points.append(Point(tasks, agents.spent_ms / jobs))
+                sent = await _frames(fleet) - frames
+                frame_points.append(Point(tasks, sent / jobs))
+    per = 'tasks in a job'
+    return [
+        make_slope('entry.job.cpu', 'ms', per, RUN, entry_points),
+        make_slope('agent.job.cpu', 'ms', per, RUN, agent_points),
+        make_slope('entry.job.frames', 'frames', per, RUN, frame_points),
+    ]
+
+
+async def measure_requests() -> list[Slope]:
+    """Measure processor time and memory against single requests."""
+    slopes: list[Slope] = []
+    for service in (LOOKUP_SERVICE, NOTE_SERVICE):
+        async with staged_fleet(entries=1, workers=WORKERS) as fleet:
+            slopes.extend(await _measure_service(fleet, service))
+    return slopes
+
+
+async def _measure_service(fleet: Fleet, service: str) -> list[Slope]:
+    cpu: list[Point] = []
+    agent_cpu: list[Point] = []
+    memory: list[Point] = []
+    agent_memory: list[Point] = []
+    total = 0
+    with closing(CapacityCaller(fleet)) as caller:
+        await _submit_requests(caller, service, REQUEST_COUNTS[0])
+        for count in REQUEST_COUNTS:
+            entry, agents = CpuMeter(fleet.entries), CpuMeter(fleet.agents)
+            await _submit_requests(caller, service, count)
+            total += count
+            cpu.append(Point(count, entry.spent_ms))
+            agent_cpu.append(Point(count, agents.spent_ms))
+            memory.append(Point(total, _private_kb(fleet.entries)))
+            agent_memory.append(Point(total, _private_kb(fleet.agents)))
+    per = 'requests'
+    kept = 'remembered keys'
+    return [
+        make_slope(f'entry.{service}.cpu', 'ms', per, RUN, cpu),
+        make_slope(f'agent.{service}.cpu', 'ms', per, RUN, agent_cpu),
+        make_slope(f'entry.{service}.memory', 'kB', kept, RUN, memory),
+        make_slope(f'agent.{service}.memory', 'kB', kept, RUN, agent_memory),
+    ]
+
+
+async def measure_open_tasks() -> list[Slope]:
+    """Measure the entry's memory against tasks of jobs in progress."""
+    points: list[Point] = []
+    for tasks in OPEN_TASKS:
+        async with staged_fleet(entries=1, workers=WORKERS) as fleet:
+            with closing(CapacityCaller(fleet)) as caller:
+                jobs = [
+                    asyncio.create_task(caller.submit_job(OPEN_JOB_TASKS, OPEN_TASK_MS))
+                    for _ in range(tasks // OPEN_JOB_TASKS)
+                ]
+                await asyncio.sleep(OPEN_SETTLE_S)
+                points.append(Point(tasks, _private_kb(fleet.entries)))
+                for job in jobs:
+                    job.cancel()
+                await asyncio.gather(*jobs, return_exceptions=True)
+                for process in (*fleet.targets, *fleet.agents, *fleet.entries):
+                    await process.kill()
+    return [make_slope('entry.open.memory', 'kB', 'tasks in progress', RUN, points)]
+
+
+async def _submit_requests(caller: CapacityCaller, service: str, count: int) -> None:
+    for _ in range(count // REQUESTS_AT_ONCE):
+        async with asyncio.TaskGroup() as group:
+            for _ in range(REQUESTS_AT_ONCE):
+                group.create_task(caller.submit_request(service))
+
+
+async def _frames(fleet: Fleet) -> int:
+    totals = await read_totals(fleet, fleet.entries[0])
+    return totals.frames + totals.received_frames
+
+
+def _private_kb(processes: Sequence[FleetProcess]) -> float:
+    megabytes = sum(read_process(process.pid).private_mb for process in processes)
+    return megabytes * MS_PER_S
--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -24,6 +24,7 @@
         'report': 'endivetally.cli_report',
         'demo': 'endivetally.demo',
         'bench': 'endivetally.bench',
+        'capacity': 'endivetally.cli_capacity',
         'scenario': 'endivetally.scenario',
     },
 )
