Bound remembered answers, close idle callers' connections on a stop

Cause: reading the entry: answers of keyed requests were held for the whole retention without a bound, and a leaving entry went on serving callers that keep their connections open. Ruled out: dropping whole records, which would forget that a key ran.

--- a/libs/endivetally-config/src/endivetally_config/settings.py
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -37,6 +37,7 @@
     log_level: LogLevel = 'INFO'
     max_body_bytes: BodyBytes = 8 * 1024 * 1024
     key_retention_s: Seconds = 900
+    key_memory_mb: Megabytes = 64
     drain_timeout_s: Seconds = 60
     scheduler: SchedulerName = 'credits'
 
--- a/libs/endivetally-entry/src/endivetally_entry/callers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/callers.py
@@ -51,6 +51,9 @@
         self.set_status(answer.status)
         for name, header in answer.headers.items():
             self.set_header(name, header)
+        if self._entry.state == 'leaving':
+            # Callers with open connections find another entry.
+            self.set_header('Connection', 'close')
         await self.finish(answer.body)
 
     def bearer_token(self) -> str:
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -62,6 +62,7 @@
 _log = logging.getLogger(__name__)
 
 TRANSPORT_BODY_FACTOR = 8
+BYTES_PER_MB = 1024 * 1024
 
 
 class Entry:
@@ -130,9 +131,9 @@
         return [owner.incarnation for owner in former if owner.incarnation not in live]
 
     def has_targets(self) -> bool:
-        """Return whether any target takes work from here."""
+        """Return whether every pool of the text has a target that takes work."""
         pools = self.keeper.text.pools
-        return any(self.scheduler.capacity(pool) for pool in pools)
+        return bool(pools) and all(self.scheduler.capacity(pool) for pool in pools)
 
     async def wait_until_open(self, timeout_s: float) -> None:
         """Wait for the start to end, for a time at most."""
@@ -257,7 +258,10 @@
             self.recovery,
             self.journal,
         )
-        self.ledger = KeyLedger(self.settings.key_retention_s)
+        self.ledger = KeyLedger(
+            self.settings.key_retention_s,
+            self.settings.key_memory_mb * BYTES_PER_MB,
+        )
         self.peering = Peering(self)
         self.entry_links = EntryLinks(
             self.identity,
@@ -299,6 +303,16 @@
             'Requests and bindings without an end.',
             lambda: self.in_progress,
         )
+        self.measures.add_gauge(
+            'endivetally_remembered_keys',
+            'Keys of which this entry remembers the request.',
+            lambda: self.ledger.remembered,
+        )
+        self.measures.add_gauge(
+            'endivetally_remembered_bytes',
+            'Bytes of remembered answers.',
+            lambda: self.ledger.body_bytes,
+        )
         self.measures.add_gauge(
             'endivetally_text_version',
             "Version of the operators' text in force.",
--- a/libs/endivetally-entry/src/endivetally_entry/ledger.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -1,6 +1,7 @@
 """Memory of the keyed requests that this entry owns or owned."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -11,6 +12,9 @@
 from endivetally_entry.executions import Execution
 from endivetally_entry.requests import Answer
 from endivetally_entry.requests import KeyName
+from endivetally_entry.requests import error_answer
+
+LOST = ErrorKind.ANSWER_LOST
 
 
 @dataclass(slots=True)
@@ -36,10 +40,16 @@
     """Records by key, forgotten after the retention.
 
     :param retention_s: how long an answer is remembered.
+    :param max_body_bytes: bodies held at once; beyond it the oldest are dropped
+        and their keys are answered ``answer_lost``.
     """
 
-    def __init__(self, retention_s: float) -> None:
+    def __init__(self, retention_s: float, max_body_bytes: int) -> None:
+        self.dropped_bodies = 0
         self._retention_s = retention_s
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
+        self._bodies: deque[KeyRecord] = deque()
         self._records: dict[KeyName, KeyRecord] = {}
         self._never_started: dict[KeyName, float] = {}
 
@@ -48,6 +58,11 @@
         """Requests without an answer."""
         return sum(not record.answer.done() for record in self._records.values())
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of all remembered bodies."""
+        return self._body_bytes
+
     @property
     def remembered(self) -> int:
         """All records."""
@@ -86,6 +101,8 @@
                 self._never_started[record.name] = record.finished_at
         if not record.answer.done():
             record.answer.set_result(answer)
+        if remember and answer.kind is None:
+            self._hold_body(record, answer)
 
     def abandon(self, record: KeyRecord, error: EndivetallyError) -> None:
         """Forget a record whose key another entry owns now."""
@@ -108,8 +125,28 @@
         ]
         for name in expired:
             self._records.pop(name)
+        while self._bodies and self._bodies[0].finished_at < oldest:
+            self._forget_body(self._bodies.popleft())
         self._never_started = {
             refused: refused_at
             for refused, refused_at in self._never_started.items()
             if refused_at >= oldest
         }
+
+    def _hold_body(self, record: KeyRecord, answer: Answer) -> None:
+        self._bodies.append(record)
+        self._body_bytes += len(answer.body)
+        while self._body_bytes > self._max_body_bytes:
+            dropped = self._bodies.popleft()
+            self._forget_body(dropped)
+            self.dropped_bodies += 1
+            dropped.answer = _answered(error_answer(RequestError(LOST)))
+
+    def _forget_body(self, record: KeyRecord) -> None:
+        self._body_bytes -= len(record.answer.result().body)
+
+
+def _answered(answer: Answer) -> 'asyncio.Future[Answer]':
+    future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    future.set_result(answer)
+    return future
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -119,7 +119,8 @@
                 await self._entry.entry_links.connect_seed(seed)
             except LinkClosed:
                 continue
-        if self._entry.has_targets():
+        if self._entry.keeper.version:
+            await self._wait_for_targets()
             self._open()
 
     async def _wait_for_targets(self) -> None:
@@ -226,11 +227,11 @@
         entry.peering.broadcast_state()
         entry.roster.broadcast(EntryState('leaving'))
         await asyncio.sleep(BALANCER_GRACE_S)
+        entry.server.stop()
         deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
         while entry.open_requests and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         entry.acknowledgements.flush()
-        entry.server.stop()
         await asyncio.sleep(LINGER_S)
         _log.info('entry stopped')
 
