Judge an agent's silence only where it sends heartbeats; survive mutual suspicion

Three faults found by scenarios, all in the watch over peers.

Agents send heartbeats to three entries. Seen in the logs of an idle fleet of five entries: every agent 'silent' and 'open' again each 3 s.

Two entries that suspected each other both tried to take over. It now stops as fenced.

An entry that does not hear most of its watched agents now waits 5 s longer before it takes over.

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -13,7 +13,7 @@
 from endivetally_config.settings import AgentSettings
 from endivetally_core.errors import LinkClosed
 from endivetally_core.identifiers import new_incarnation
-from endivetally_core.identifiers import rank_by_rendezvous
+from endivetally_core.identifiers import watchers_of
 from endivetally_core.joining import AgentIdentity
 from endivetally_core.joining import Announcement
 from endivetally_core.joining import EntryIdentity
@@ -48,7 +48,6 @@
 
 logger: Final = logging.getLogger(__name__)
 
-WATCHERS: Final = 3
 HEARTBEAT_S: Final = 1
 LEASE_CHECK_S: Final = 0.1
 TRIM_S: Final = 5
@@ -221,8 +220,7 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            ranked = rank_by_rendezvous(self._settings.name, self._links.entries)
-            for watcher in ranked[:WATCHERS]:
+            for watcher in watchers_of(self._settings.name, self._links.entries):
                 self._links.post(watcher, self._tasks.state)
             self._tasks.send_orders(self._tasks.ledger.expire_revocations())
 
--- a/libs/endivetally-core/src/endivetally_core/identifiers.py
+++ b/libs/endivetally-core/src/endivetally_core/identifiers.py
@@ -2,9 +2,11 @@
 
 import secrets
 from collections.abc import Iterable
+from typing import Final
 
 import xxhash
 
+HEARTBEAT_WATCHERS: Final = 3
 _INCARNATION_BYTES = 8
 
 
@@ -43,3 +45,15 @@
         key=lambda name: xxhash.xxh3_64_intdigest(f'{subject}\0{name}'.encode()),
         reverse=True,
     )
+
+
+def watchers_of(agent: str, entries: Iterable[str]) -> list[str]:
+    """Return the entries to which an agent sends its heartbeats.
+
+    :param agent: name of the agent.
+    :param entries: incarnations of the entries that it is linked to.
+
+    >>> len(watchers_of('agent-1', ['a', 'b', 'c', 'd']))
+    3
+    """
+    return rank_by_rendezvous(agent, entries)[:HEARTBEAT_WATCHERS]
--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
+from math import inf
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import EndivetallyError
@@ -84,16 +86,19 @@
         if known.link is link:
             await self._link_lost(known)
 
-    def mark_silent_agents(self) -> list[str]:
-        """Stop giving work to agents that have not been heard for a while.
+    def mark_silent_agents(self, watched: Mapping[str, float]) -> list[str]:
+        """Stop giving work to watched agents that fell silent.
 
+        :param watched: when the watch began, by incarnation.
         :returns: incarnations of those newly silent.
         """
         oldest = _now() - SILENCE_S
         silent = [
             agent
             for agent in self._roster.agents
-            if agent.heard_at < oldest and agent.state != 'silent'
+            if agent.state != 'silent'
+            and max(agent.heard_at, watched.get(agent.identity.incarnation, inf))
+            < oldest
         ]
         for known in silent:
             self._give_up(known)
--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -37,6 +37,7 @@
 SILENCE_S = 3
 ABSENCE_S = 1.5
 SUCCESSOR_STEP_S = 1
+ISOLATED_DELAY_S = 5
 
 
 @dataclass(slots=True)
@@ -258,6 +259,7 @@
     """Takes over entries that are suspected to be dead.
 
     :param take_over: fences an entry in the table and shares out its shards.
+    :param is_isolated: whether this entry seems to be the one that is cut off.
     """
 
     def __init__(
@@ -265,10 +267,12 @@
         identity: EntryIdentity,
         links: EntryLinks,
         take_over: 'Callable[[EntryIdentity], Awaitable[None]]',
+        is_isolated: 'Callable[[], bool]',
     ) -> None:
         self._identity = identity
         self._links = links
         self._take_over = take_over
+        self._is_isolated = is_isolated
         self._since: dict[str, float] = {}
 
     async def check(self) -> None:
@@ -291,7 +295,10 @@
             if identity.incarnation not in suspects
         ]
         ranked = rank_by_rendezvous(dead.identity.incarnation, live)
-        return ranked.index(self._identity.incarnation) * SUCCESSOR_STEP_S
+        turn = ranked.index(self._identity.incarnation)
+        # Those on the other side of a cut go first: they reach the targets.
+        isolated_s = ISOLATED_DELAY_S if self._is_isolated() else 0
+        return turn * SUCCESSOR_STEP_S + isolated_s
 
     async def _succeed(self, dead: KnownEntry) -> None:
         try:
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -18,6 +18,7 @@
 from endivetally_entry.entry import Entry
 from endivetally_entry.entry_links import Succession
 from endivetally_entry.housekeeping import Housekeeping
+from endivetally_entry.watching import Watching
 
 if TYPE_CHECKING:
     from endivetally_config.settings import EntrySettings
@@ -26,6 +27,7 @@
 
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
+REPORT_S: Final = 1.5
 ACKNOWLEDGE_INTERVAL_S: Final = 60
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
@@ -52,12 +54,14 @@
             entry.identity,
             entry.entry_links,
             entry.ownership.take_over,
+            self._is_isolated,
         )
         self._housekeeping = Housekeeping(
             entry.journal,
             entry.directory,
             entry.settings.key_retention_s,
         )
+        self._watching = Watching(entry.identity.incarnation)
         self._exit_code = EXIT_OK
 
     async def run(self) -> int:
@@ -126,7 +130,7 @@
         """Give agents the time to join before callers are served."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + TARGETS_WAIT_S
-        while loop.time() < give_up_at and not self._entry.has_targets():
+        while loop.time() < give_up_at and not self._entry.serves_every_pool():
             await asyncio.sleep(TARGETS_POLL_S)
 
     def _open(self) -> None:
@@ -195,13 +199,44 @@
 
     async def _look_for_failures(self) -> None:
         entry = self._entry
-        silent = entry.agent_links.mark_silent_agents()
+        silent = entry.agent_links.mark_silent_agents(self._watched_agents())
         if silent:
             entry.entry_links.broadcast(AgentNews(silent))
         if entry.journal.fenced:
             self._fenced()
         if entry.state == 'open':
+            await self._check_succession()
+
+    async def _check_succession(self) -> None:
+        try:
             await self._succession.check()
+        except Fenced:
+            # Two entries may suspect each other; this one lost.
+            self._fenced()
+
+    def _is_isolated(self) -> bool:
+        """Return whether most agents that report here have fallen silent."""
+        recent = asyncio.get_running_loop().time() - REPORT_S
+        watched = self._watched_agents()
+        heard = [
+            agent.identity.incarnation in watched
+            for agent in self._entry.roster.agents
+            if agent.heard_at > recent
+        ]
+        return sum(heard) * 2 < len(watched)
+
+    def _watched_agents(self) -> dict[str, float]:
+        entry = self._entry
+        entries = [known.incarnation for known in entry.known_identities()]
+        agents = {
+            agent.identity.incarnation: agent.identity.name
+            for agent in entry.roster.agents
+        }
+        return self._watching.refresh(
+            entries,
+            agents,
+            asyncio.get_running_loop().time(),
+        )
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
