--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -134,6 +134,11 @@
         pools = self.keeper.text.pools
         return any(self.scheduler.capacity(pool) for pool in pools)
 
+    def serves_every_pool(self) -> bool:
+        """Return whether a target of each pool takes work from here."""
+        pools = self.keeper.text.pools
+        return bool(pools) and all(map(self.scheduler.capacity, pools))
+
     async def wait_until_open(self, timeout_s: float) -> None:
         """Wait for the start to end, for a time at most."""
         if self.opened.is_set():
--- a/libs/endivetally/src/endivetally/fleet.py
+++ b/libs/endivetally/src/endivetally/fleet.py
@@ -14,6 +14,7 @@
 import msgspec
 from endivetally_config.text import OperatorsText
 from endivetally_core.joining import Address
+from endivetally_core.status import EntryStatus
 
 from endivetally.fleet_client import FleetClient
 from endivetally.fleet_commands import TABLE
@@ -32,6 +33,7 @@
 __all__ = ('Fleet', 'FleetError', 'FleetProcess')
 
 READY_TIMEOUT_S: Final = 30
+OPEN: Final = 'open'
 _POLL_S: Final = 0.1
 _STOP_ORDER: Final = ('target-', 'agent-', 'entry-', TABLE)
 
@@ -197,6 +199,11 @@
     ) -> None:
         while True:
             status = await self.client.status(entry.url)
-            if status and status.version >= version and status.open_targets >= agents:
+            if status and _is_ready(status, version, agents):
                 return
             await asyncio.sleep(_POLL_S)
+
+
+def _is_ready(status: EntryStatus, version: int, agents: int) -> bool:
+    current = status.version >= version and status.state == OPEN
+    return current and status.open_targets >= agents
--- a/libs/endivetally/src/endivetally/scenarios/deployment.py
+++ b/libs/endivetally/src/endivetally/scenarios/deployment.py
@@ -14,19 +14,12 @@
 
 LATENCY_MS: Final = 1
 DEADLINE_MS: Final = 10_000
-TEXT: Final = OperatorsText(
-    services=(
-        Service(
-            'lookups',
-            ServiceKind.IDEMPOTENT,
-            priority=0,
-            deadline_ms=DEADLINE_MS,
-        ),
-        Service('sweeps', ServiceKind.JOB, deadline_ms=DEADLINE_MS),
-        Service('notes', ServiceKind.NON_IDEMPOTENT, deadline_ms=DEADLINE_MS),
-    ),
-    teams=(Team('clerks', 'clerks-token', tasks_per_s=UNLIMITED_TASKS_PER_S),),
+SERVICES: Final = (
+    Service('lookups', ServiceKind.IDEMPOTENT, priority=0, deadline_ms=DEADLINE_MS),
+    Service('sweeps', ServiceKind.JOB, deadline_ms=DEADLINE_MS),
+    Service('notes', ServiceKind.NON_IDEMPOTENT, deadline_ms=DEADLINE_MS),
 )
+TEAM: Final = Team('clerks', 'clerks-token', tasks_per_s=UNLIMITED_TASKS_PER_S)
 
 
 def make_deployment(
@@ -38,6 +31,8 @@
 
     :param workers_of: names of services and how many workers each has.
     """
+    staffed = {service for service, _count in workers_of}
+    services = tuple(service for service in SERVICES if service.name in staffed)
     names = tuple(f'dc-{number + 1}' for number in range(data_centres))
     return Deployment(
         name='scenario',
@@ -45,5 +40,5 @@
         latency_ms=LATENCY_MS,
         entries=place_entries(entries, names),
         workers=place_workers(workers_of, names),
-        text=TEXT,
+        text=OperatorsText(services, (TEAM,)),
     )
--- a/tests/core/test_links.py
+++ b/tests/core/test_links.py
@@ -59,7 +59,6 @@
         near.close()
         far.close()
 
-
     async def test_a_cut_holds_frames_in_order_until_it_ends(self):
         shaper = RuleShaper()
         shaper.replace((ShapingRule('peer-1', cut=True),))
