--- a/libs/endivetally-agent/src/endivetally_agent/watchers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/watchers.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 import msgspec
-from endivetally_core.identifiers import rank_by_rendezvous
+from endivetally_core.identifiers import watchers_of
 from endivetally_core.wire import Watch
 
 from endivetally_agent.registry import LinkRegistry
@@ -20,7 +20,6 @@
 
 logger: Final = logging.getLogger(__name__)
 
-WATCHERS: Final = 2
 BEATS_PER_PROBE: Final = 3
 PROBE_AFTER_S: Final = 2
 ENTRY_SILENCE_S: Final = 4
@@ -73,8 +72,7 @@
         self._close_silent(now)
 
     def _choose(self) -> None:
-        ranked = rank_by_rendezvous(self._name, self._links.entries)
-        chosen = frozenset(ranked[:WATCHERS])
+        chosen = frozenset(watchers_of(self._name, self._links.entries))
         for former in self._watchers - chosen:
             self._send(former, Watch.OFF)
         self._watchers = chosen
--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -221,8 +221,6 @@
     async def _link_lost(self, known: 'KnownAgent') -> None:
         incarnation = known.identity.incarnation
         known.link = None
-        known.watched = False
-        known.probed_at = None
         self._change_state(known, 'closed')
         self._dispatcher.fail_bindings(incarnation, 'link_lost', exclusive=False)
         await asyncio.sleep(REJOIN_GRACE_S)
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -26,6 +26,7 @@
 
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
+REPORT_S: Final = 1.5
 ACKNOWLEDGE_INTERVAL_S: Final = 60
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
@@ -52,6 +53,7 @@
             entry.identity,
             entry.entry_links,
             entry.ownership.take_over,
+            self._is_isolated,
         )
         self._housekeeping = Housekeeping(
             entry.journal,
@@ -119,14 +121,15 @@
                 await self._entry.entry_links.connect_seed(seed)
             except LinkClosed:
                 continue
-        if self._entry.has_targets():
+        if self._entry.keeper.version:
+            await self._wait_for_targets()
             self._open()
 
     async def _wait_for_targets(self) -> None:
         """Give agents the time to join before callers are served."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + TARGETS_WAIT_S
-        while loop.time() < give_up_at and not self._entry.has_targets():
+        while loop.time() < give_up_at and not self._entry.serves_every_pool():
             await asyncio.sleep(TARGETS_POLL_S)
 
     def _open(self) -> None:
@@ -203,7 +206,21 @@
         if entry.journal.fenced:
             self._fenced()
         if entry.state == 'open':
+            await self._check_succession()
+
+    async def _check_succession(self) -> None:
+        try:
             await self._succession.check()
+        except Fenced:
+            # Two entries may suspect each other; this one lost.
+            self._fenced()
+
+    def _is_isolated(self) -> bool:
+        """Return whether most agents that report here have fallen silent."""
+        recent = asyncio.get_running_loop().time() - REPORT_S
+        watched = [agent for agent in self._entry.roster.agents if agent.watched]
+        heard = [agent for agent in watched if agent.heard_at > recent]
+        return len(heard) * 2 < len(watched)
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
@@ -228,11 +245,11 @@
         entry.peering.broadcast_state()
         entry.roster.broadcast(EntryState('leaving'))
         await asyncio.sleep(BALANCER_GRACE_S)
+        entry.server.stop()
         deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
         while entry.open_requests and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         entry.acknowledgements.flush()
-        entry.server.stop()
         await asyncio.sleep(LINGER_S)
         _log.info('entry stopped')
 
--- a/tests/agent/test_watchers.py
+++ b/tests/agent/test_watchers.py
@@ -8,9 +8,10 @@
 from endivetally_agent.watchers import ENTRY_SILENCE_S
 from endivetally_agent.watchers import FROZEN_GAP_S
 from endivetally_agent.watchers import PROBE_AFTER_S
-from endivetally_agent.watchers import WATCHERS
 from endivetally_agent.watchers import Watchers
 from endivetally_config.settings import AgentSettings
+from endivetally_core.identifiers import HEARTBEAT_WATCHERS
+from endivetally_core.identifiers import watchers_of
 from endivetally_core.joining import Address
 from endivetally_core.joining import Announcement
 from endivetally_core.messages import AgentState
@@ -75,12 +76,15 @@
 
 
 class TestHeartbeats:
-    @pytest.mark.parametrize(('entries', 'watched'), [(1, 1), (2, 2), (6, WATCHERS)])
+    @pytest.mark.parametrize(
+        ('entries', 'watched'), [(1, 1), (2, 2), (6, HEARTBEAT_WATCHERS)]
+    )
     def test_a_few_entries_watch_whatever_their_number(self, entries, watched):
         deployment = Deployment(ENTRIES[:entries])
         deployment.beat()
         assert len(deployment.watching()) == watched
         first = deployment.watching()
+        assert first == set(watchers_of('a-1', ENTRIES[:entries]))
         deployment.beat()
         assert deployment.watching() == first
 
@@ -91,7 +95,7 @@
         for entry in ENTRIES[3:]:
             deployment.link(entry)
         deployment.beat()
-        assert len(deployment.watching()) == WATCHERS
+        assert len(deployment.watching()) == HEARTBEAT_WATCHERS
         demoted = former - deployment.watching()
         assert demoted
         assert deployment.posted(Watch.OFF) == demoted
