Compute the capacity page from recorded slopes; add bench control

The page is computed line by line with its arithmetic; what exceeds a limit is listed with the factor and a remedy.

--- a/libs/endivetally/src/endivetally/bench.py
+++ b/libs/endivetally/src/endivetally/bench.py
@@ -16,6 +16,7 @@
 from endivetally.bench_report import run_fields
 from endivetally.bench_run import BenchPlan
 from endivetally.bench_run import BenchRun
+from endivetally.cli_capacity import measure
 from endivetally.fleet_deployment import deployment_named
 from endivetally.plots import plot_runs
 
@@ -27,8 +28,9 @@
 app = typer.Typer(add_completion=False)
 
 
-@app.command('bench')
+@app.callback(invoke_without_command=True)
 def bench(
+    context: typer.Context,
     *,
     seed: Annotated[int, typer.Option(help='Seed of arrivals and run times.')] = 1,
     seconds: Annotated[
@@ -61,6 +63,8 @@
 
     Exit code 0 after a run, whatever it measured; 2 for a wrong option.
     """
+    if context.invoked_subcommand is not None:
+        return
     _require(deployment, ('lovdata', 'logbook'), '--deployment')
     _require(baseline, ('', NAIVE), '--baseline')
     _require(fault, tuple(FAULTS), '--fault')
@@ -81,6 +85,9 @@
         Console().print(report_table(name, run))
 
 
+app.command('control')(measure)
+
+
 async def run_bench(plan: BenchPlan, *, with_naive: bool) -> dict[str, RunReport]:
     """Run our scheduler, then the naive one against the same ideal."""
     ours = await BenchRun(plan).run()
--- a/libs/endivetally/src/endivetally/capacity/caller.py
+++ b/libs/endivetally/src/endivetally/capacity/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+from collections.abc import Iterator
 from typing import Final
 
 from tornado.httpclient import AsyncHTTPClient
@@ -40,8 +41,8 @@
 
         :raises FleetError: when it is not answered whole.
         """
-        task = {'run_ms': run_ms}
-        body = json.dumps({'tasks': [task] * tasks})
+        payloads = [{'run_ms': run_ms} for _ in range(tasks)]
+        body = json.dumps({'tasks': payloads})
         await self._post(f'{JOB_SERVICE}/jobs', body)
 
     async def submit_request(self, service: str) -> None:
@@ -53,15 +54,14 @@
 
     async def submit_jobs(self, count: int, tasks: int, at_once: int) -> None:
         """Submit jobs of one size, some at once, until all are answered."""
-        left = itertools.repeat(None, count)
-
-        async def submit_next() -> None:
-            for _ in left:
-                await self.submit_job(tasks)
-
+        left = iter(range(count))
         async with asyncio.TaskGroup() as group:
             for _ in range(at_once):
-                group.create_task(submit_next())
+                group.create_task(self._submit_each(left, tasks))
+
+    async def _submit_each(self, left: Iterator[int], tasks: int) -> None:
+        for _ in left:
+            await self.submit_job(tasks)
 
     async def _post(self, path: str, body: str) -> None:
         headers = {
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/figures.py
@@ -0,0 +1,98 @@
+"""Figures at the size of the design that several sections of the page need."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+from endivetally_core.identifiers import HEARTBEAT_WATCHERS
+from endivetally_table.shards import SHARD_COUNT
+from endivetally_table.shards import spread
+
+from endivetally.capacity import demand
+from endivetally.capacity.recording import Recording
+
+MS_PER_S: Final = 1000
+# One segment with IP and TCP headers, and the length that nng puts before a
+# frame; the acknowledgement of a segment that carries nothing back.
+FRAME_HEADER_BYTES: Final = 60
+ACKNOWLEDGEMENT_BYTES: Final = 52
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Derived figures.
+
+    :param recording: the slopes that were measured.
+    """
+
+    recording: Recording
+
+    def slope(self, name: str) -> float:
+        """Return a slope's value."""
+        return self.recording.slope(name).fit.slope
+
+    def intercept(self, name: str) -> float:
+        """Return the fitted value at size 0."""
+        return self.recording.slope(name).fit.intercept
+
+    def last(self, name: str) -> float:
+        """Return the value measured at the largest size."""
+        return self.recording.slope(name).points[-1].value
+
+    @property
+    def job_ms(self) -> float:
+        """Processor time of an entry for a job, beside that of its tasks."""
+        return self.recording.slope('entry.job.cpu').points[0].value - self.task_ms
+
+    @property
+    def task_ms(self) -> float:
+        """Processor time of an entry for a task of a job."""
+        return self.slope('entry.job.cpu')
+
+    @property
+    def jobs_per_s(self) -> float:
+        """Jobs a second at the peak."""
+        return demand.STARTS_PER_S / demand.MEAN_JOB_TASKS
+
+    @property
+    def busy_cores(self) -> float:
+        """Cores that the entries keep busy at the peak."""
+        tasks = demand.STARTS_PER_S * self.task_ms
+        jobs = self.jobs_per_s * self.job_ms
+        return (tasks + jobs) / MS_PER_S
+
+    @property
+    def entries(self) -> int:
+        """Entries needed: a multiple of the data centres."""
+        needed = self.busy_cores / demand.BUSY_SHARE / demand.DATA_CENTRES
+        return math.ceil(needed) * demand.DATA_CENTRES
+
+    @property
+    def watched(self) -> float:
+        """Agents that heartbeat one entry."""
+        return demand.WORKERS * HEARTBEAT_WATCHERS / self.entries
+
+    @property
+    def peers(self) -> int:
+        """Other entries."""
+        return self.entries - 1
+
+    @property
+    def starts_per_agent(self) -> float:
+        """Task starts a second at one agent."""
+        return demand.STARTS_PER_S / demand.WORKERS
+
+    @property
+    def largest_shard_share(self) -> float:
+        """Shards of the entry with the most, over the average."""
+        names = [f'entry-{number}.{number:016x}' for number in range(self.entries)]
+        owned = Counter(
+            {move.to: len(move.shards) for move in spread(range(SHARD_COUNT), names)},
+        )
+        return max(owned.values()) * self.entries / SHARD_COUNT
+
+
+def wire_bytes(frame_bytes: float, frames: float) -> float:
+    """Add the headers of frames, each with an acknowledgement of its own."""
+    return frame_bytes + frames * (FRAME_HEADER_BYTES + ACKNOWLEDGEMENT_BYTES)
--- a/libs/endivetally/src/endivetally/capacity/message_sizes.py
+++ b/libs/endivetally/src/endivetally/capacity/message_sizes.py
@@ -2,14 +2,21 @@
 
 from typing import Final
 
+from endivetally_config.text import OperatorsText
+from endivetally_config.text import Service
+from endivetally_config.text import ServiceKind
+from endivetally_config.text import Team
+from endivetally_config.text import encode_text
 from endivetally_core.messages import EntryState
 from endivetally_core.messages import Frame
+from endivetally_core.messages import TextUpdate
 from endivetally_core.messages import encode_frame
 
 from endivetally.capacity.fits import Point
 from endivetally.capacity.recording import Slope
 from endivetally.capacity.recording import make_slope
 
+RUN: Final = 'messages'
 TEAM_COUNTS: Final = (0, 10, 20, 40)
 TEXT_VERSION: Final = 1000
 MAP_VERSION: Final = 100
@@ -18,8 +25,27 @@
 
 async def measure_message_sizes() -> list[Slope]:
     """Encode the heartbeat between entries with the demand of more teams."""
-    points = [Point(teams, _heartbeat_bytes(teams)) for teams in TEAM_COUNTS]
-    return [make_slope('message.entry_state', 'bytes', 'teams', 'messages', points)]
+    heartbeats = [Point(teams, _heartbeat_bytes(teams)) for teams in TEAM_COUNTS]
+    texts = [Point(teams, _text_bytes(teams)) for teams in TEAM_COUNTS]
+    per_text = 'teams, with a service for each'
+    return [
+        make_slope('message.entry_state', 'bytes', 'teams', RUN, heartbeats),
+        make_slope('message.text', 'bytes', per_text, RUN, texts),
+    ]
+
+
+def _text_bytes(teams: int) -> int:
+    text = OperatorsText(
+        services=tuple(
+            Service(f'service-{number:02}', ServiceKind.JOB) for number in range(teams)
+        ),
+        teams=tuple(
+            Team(f'team-{number:02}', f'token-of-team-{number:02}')
+            for number in range(teams)
+        ),
+    )
+    update = TextUpdate(TEXT_VERSION, encode_text(text))
+    return len(encode_frame(Frame(TEXT_VERSION, [update])))
 
 
 def _heartbeat_bytes(teams: int) -> int:
--- /dev/null
+++ b/libs/endivetally/src/endivetally/capacity/page.py
@@ -0,0 +1,137 @@
+"""Computes docs/CAPACITY.md from recorded slopes."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Final
+
+from endivetally.capacity import demand
+from endivetally.capacity import role_lines
+from endivetally.capacity import shared_lines
+from endivetally.capacity.figures import Figures
+from endivetally.capacity.lines import Line
+from endivetally.capacity.lines import number
+from endivetally.capacity.lines import render_lines
+from endivetally.capacity.recording import Floor
+from endivetally.capacity.recording import Recording
+from endivetally.capacity.recording import Slope
+from endivetally.capacity.remedies import remedy_for
+
+TITLE: Final = '# Capacity'
+INTRODUCTION: Final = """\
+This page is computed by `endivetally capacity page` from
+[capacity/slopes.json](capacity/slopes.json), which `endivetally bench control
+--json` writes; a test compares the two. It extrapolates: nothing here ran at the
+size of the design. Sizes that were measured stand beside each slope. Processes
+shared one machine with other work; the standard error shows the scatter."""
+ENTRIES_NOTE: Final = """\
+A mean job of 100 tasks is assumed; the journal's lines show other sizes. An entry
+is one process on one core. The busy share leaves room for bursts, and for the
+loss of one data centre."""
+ENTRY_NOTE: Final = """\
+Carried by: one link to each agent and entry; heartbeats of the agents that the
+entry watches (two entries for each agent, by rendezvous), an answer to every
+third; news between entries about silent agents; probes of agents that have work
+and are not heard; load on replies; group commit in the journal. See
+[design/membership.md](design/membership.md) and
+[design/journal.md](design/journal.md). A frame counts 60 bytes of headers and an
+acknowledgement of 52 bytes of its own, which is the most that it can take."""
+AGENT_NOTE: Final = """\
+Carried by: heartbeats to two entries whatever their number; credits on outcomes;
+start records bounded in number; results bounded in bytes. See
+[design/credits.md](design/credits.md) and [design/gate.md](design/gate.md)."""
+TABLE_NOTE: Final = """\
+Carried by: conditional transactions, one journal write in flight for each entry
+with all that waits, entries that look at the map every 5 s, agents that learn of
+entries from entries and read the table seldom, exponential backoff with jitter."""
+TEXT_NOTE: Final = """\
+Carried by: one version row changed by compare-and-swap; the entry that accepted
+the text sends it to all entries, each entry tells the agents that it watches its
+version, and an agent asks one entry for the text. The time is extrapolated from
+100 agents on 4 entries; with more entries each serves fewer agents."""
+JOIN_NOTE: Final = """\
+An agent joins an entry that it is told of after a random wait of up to 10 s; after
+a loss its wait doubles up to 10 s while it has other links, else up to 2 s."""
+EVENT_NOTE: Final = """\
+Silence is suspected after 3 s. A region cut costs each side the same as the loss
+of the other: news about its agents, and takeovers on the side that reaches the
+table. What each side may admit is in [design/membership.md](design/membership.md)."""
+
+
+def render_page(recording: Recording) -> str:
+    """Return the page as Markdown."""
+    figures = Figures(recording)
+    sections = (
+        ('How many entries', ENTRIES_NOTE, role_lines.entry_count_lines(figures)),
+        ('Entry', ENTRY_NOTE, role_lines.entry_lines(figures)),
+        ('Agent', AGENT_NOTE, role_lines.agent_lines(figures)),
+        ('Table service', TABLE_NOTE, shared_lines.table_lines(figures)),
+        ("Operators' path", TEXT_NOTE, shared_lines.text_lines(figures)),
+        ('Joining', JOIN_NOTE, shared_lines.join_lines(figures)),
+        ('Events', EVENT_NOTE, shared_lines.event_lines(figures)),
+    )
+    blocks = [TITLE, INTRODUCTION, _size(), _misfits(sections)]
+    for title, note, lines in sections:
+        blocks.extend((f'## {title}', note, render_lines(lines)))
+    blocks.extend(('## Memory floors', _floors(recording.floors)))
+    blocks.extend(('## Slopes', _run_note(recording), _slopes(recording.slopes)))
+    page = '\n\n'.join(blocks)
+    return f'{page}\n'
+
+
+def _size() -> str:
+    return (
+        f'Size: {number(demand.WORKERS)} workers, {number(demand.STARTS_PER_S)} task '
+        f'starts a second, jobs of up to {number(demand.MAX_JOB_TASKS)} tasks, '
+        f'{demand.TEAMS} teams,\n{demand.REGIONS} regions, {demand.DATA_CENTRES} data '
+        f'centres, {demand.CHANGES_PER_DAY} changes a day in force within '
+        f'{demand.IN_FORCE_S} s.'
+    )
+
+
+def _misfits(sections: Sequence[tuple[str, str, list[Line]]]) -> str:
+    rows = [
+        f'| {title} | {line.quantity} | {line.factor:.1f} '
+        f'| {remedy_for(line.quantity)} |'
+        for title, _, lines in sections
+        for line in lines
+        if not line.fits
+    ]
+    header = (
+        '## What does not fit\n\n'
+        '| role | quantity | times over | what would mend it |\n'
+        '| --- | --- | --- | --- |'
+    )
+    return '\n'.join((header, *rows))
+
+
+def _floors(floors: Iterable[Floor]) -> str:
+    header = (
+        'An interpreter that has imported the modules and does nothing.\n\n'
+        '| imports | resident MB | private MB |\n| --- | --- | --- |'
+    )
+    rows = [
+        f'| {floor.name} | {floor.resident_mb:.1f} | {floor.private_mb:.1f} |'
+        for floor in floors
+    ]
+    return '\n'.join((header, *rows))
+
+
+def _run_note(recording: Recording) -> str:
+    return f'Recorded {recording.recorded} on {recording.machine}.'
+
+
+def _slopes(slopes: Iterable[Slope]) -> str:
+    header = (
+        '| name | run | per | unit | slope | standard error | at size 0 | sizes |\n'
+        '| --- | --- | --- | --- | --- | --- | --- | --- |'
+    )
+    return '\n'.join((header, *(_slope(slope) for slope in slopes)))
+
+
+def _slope(slope: Slope) -> str:
+    sizes = ', '.join(f'{point.size:g}' for point in slope.points)
+    fit = slope.fit
+    return (
+        f'| {slope.name} | {slope.run} | {slope.per} | {slope.unit} '
+        f'| {fit.slope:.4g} | {fit.spread:.2g} | {fit.intercept:.4g} | {sizes} |'
+    )
--- /dev/null
+++ b/tests/capacity/test_page.py
@@ -0,0 +1,73 @@
+"""Tests that the capacity page is computed from the recorded slopes."""
+
+import pathlib
+
+import pytest
+from endivetally.capacity.counters import LinkTotals
+from endivetally.capacity.counters import parse_totals
+from endivetally.capacity.counters import sum_totals
+from endivetally.capacity.figures import Figures
+from endivetally.capacity.fits import Point
+from endivetally.capacity.fits import fit_line
+from endivetally.capacity.lines import Line
+from endivetally.capacity.page import render_page
+from endivetally.capacity.recording import load_recording
+from endivetally.capacity.remedies import NOT_KNOWN
+
+DOCS = pathlib.Path(__file__).parents[2] / 'docs'
+
+
+@pytest.fixture
+def recording():
+    return load_recording(DOCS / 'capacity' / 'slopes.json')
+
+
+class TestPage:
+    def test_the_committed_page_is_the_computed_one(self, recording):
+        assert (DOCS / 'CAPACITY.md').read_text() == render_page(recording)
+
+    def test_every_slope_is_the_fit_of_its_points(self, recording):
+        for slope in recording.slopes:
+            assert len({point.size for point in slope.points}) >= 4
+            assert fit_line(slope.points).slope == pytest.approx(slope.fit.slope)
+
+    def test_every_misfit_has_a_remedy(self, recording):
+        assert NOT_KNOWN not in render_page(recording)
+
+    def test_entries_carry_the_peak(self, recording):
+        figures = Figures(recording)
+        assert figures.entries * 0.6 >= figures.busy_cores
+
+
+class TestFit:
+    def test_the_spread_is_the_standard_error_of_the_slope(self):
+        fit = fit_line([Point(0, 0), Point(1, 2), Point(2, 1), Point(3, 3)])
+        assert fit.slope == pytest.approx(0.8)
+        assert fit.spread == pytest.approx(0.424264, rel=1e-5)
+
+    def test_two_points_are_too_few(self):
+        with pytest.raises(ValueError, match='needs 3'):
+            fit_line([Point(0, 0), Point(1, 1)])
+
+
+class TestLines:
+    @pytest.mark.parametrize(
+        ('amount', 'limit', 'fits'),
+        [(5, None, True), (5, 5, True), (5.1, 5, False)],
+    )
+    def test_a_line_fits_up_to_its_limit(self, amount, limit, fits):
+        assert Line('q', 'a', amount, 'MB', limit).fits == fits
+
+
+class TestCounters:
+    def test_totals_are_read_summed_and_subtracted(self):
+        exposition = (
+            'endivetally_messages_total{message="Grant"} 3\n'
+            'endivetally_frames_total 2\n'
+            'endivetally_received_bytes_total{} 70\n'
+        )
+        totals = parse_totals(exposition)
+        assert totals == LinkTotals(1, 3, 2, 0, 0, 70)
+        assert sum_totals([totals, totals]).since(totals) == LinkTotals(
+            2, 3, 2, 0, 0, 70
+        )
