--- a/tests/table/measure_journal.py
+++ b/tests/table/measure_journal.py
@@ -16,11 +16,11 @@
 from endivetally_core.joining import EntryIdentity
 from endivetally_table import EntryRegistry
 from endivetally_table import HttpTable
-from endivetally_table import Journal
-from endivetally_table import JournalEntry
-from endivetally_table import JournalHistory
-from endivetally_table import ShardDirectory
-from endivetally_table import iterate_journal
+from endivetally_table.batches import JournalEntry
+from endivetally_table.batches import iterate_journal
+from endivetally_table.directory import ShardDirectory
+from endivetally_table.history import JournalHistory
+from endivetally_table.journal import Journal
 from hdrh.histogram import HdrHistogram
 
 RUN_S = 4
