--- a/libs/endivetally/src/endivetally/capacity/shared_lines.py
+++ b/libs/endivetally/src/endivetally/capacity/shared_lines.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from endivetally_agent.peers import JOIN_SPREAD_S
 from endivetally_agent.peers import SCAN_INTERVAL_S
 from endivetally_agent.peers import SCAN_RETRY_MAX_S
 from endivetally_core.identifiers import HEARTBEAT_WATCHERS
@@ -14,8 +15,6 @@
 from endivetally.capacity.lines import number
 
 JOB_SIZES: Final = (demand.MAX_JOB_TASKS, demand.MEAN_JOB_TASKS, 10)
-SUSPICION_S: Final = 3
-JOIN_SPREAD_S: Final = 10
 
 
 def table_lines(figures: Figures) -> list[Line]:
