--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -116,15 +116,25 @@
             self._give_up(known)
         return [agent.identity.incarnation for agent in silent]
 
+    def probe_silent_agents(self) -> None:
+        """Ask silent agents again, whose probe may have been lost."""
+        oldest = _now() - SILENCE_S
+        for known in self._roster.agents:
+            probed_at = known.probed_at
+            if known.state == 'silent' and (probed_at is None or probed_at < oldest):
+                self._probe(known)
+
     def probe_busy_agents(self) -> None:
         """Ask agents for their state that have work and were not heard lately."""
-        oldest = _now() - PROBE_AFTER_S
         for incarnation in self._dispatcher.bound_agents:
             known = self._roster.get(incarnation)
-            if known is None or known.watched or known.probed_at is not None:
-                continue
-            if known.heard_at < oldest:
-                self._probe(known)
+            if known is not None:
+                self._probe_unheard(known)
+
+    def probe_all_agents(self) -> None:
+        """Ask all agents for their state that were not heard lately."""
+        for known in self._roster.agents:
+            self._probe_unheard(known)
 
     def reported_silent(self, incarnations: list[str]) -> None:
         """Stop giving work to agents that another entry has lost.
@@ -178,6 +188,12 @@
             case _:
                 _log.debug('message ignored', extra={'type': type(message).__name__})
 
+    def _probe_unheard(self, known: 'KnownAgent') -> None:
+        if known.watched or known.probed_at is not None:
+            return
+        if known.heard_at < _now() - PROBE_AFTER_S:
+            self._probe(known)
+
     def _probe(self, known: 'KnownAgent') -> None:
         known.probed_at = _now()
         probe = msgspec.structs.replace(self._describe(), probe=True)
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -49,6 +49,7 @@
     def __init__(self, entry: Entry) -> None:
         self._entry = entry
         self._stopping = asyncio.Event()
+        self._agents_before = 0
         self._succession = Succession(
             entry.identity,
             entry.entry_links,
@@ -202,6 +203,7 @@
         silent = entry.agent_links.mark_silent_agents()
         if silent:
             entry.entry_links.broadcast(AgentNews(silent))
+        entry.agent_links.probe_silent_agents()
         entry.agent_links.probe_busy_agents()
         if entry.journal.fenced:
             self._fenced()
@@ -209,6 +211,11 @@
             await self._check_succession()
 
     async def _check_succession(self) -> None:
+        if self._entry.entry_links.suspects():
+            # Their answers tell which side of a cut this entry is on.
+            self._entry.agent_links.probe_all_agents()
+        else:
+            self._agents_before = len(self._entry.roster.agents)
         try:
             await self._succession.check()
         except Fenced:
@@ -216,11 +223,11 @@
             self._fenced()
 
     def _is_isolated(self) -> bool:
-        """Return whether most agents that report here have fallen silent."""
+        """Return whether this entry does not hear most of the agents."""
         recent = asyncio.get_running_loop().time() - REPORT_S
-        watched = [agent for agent in self._entry.roster.agents if agent.watched]
-        heard = [agent for agent in watched if agent.heard_at > recent]
-        return len(heard) * 2 < len(watched)
+        agents = self._entry.roster.agents
+        heard = [agent for agent in agents if agent.heard_at > recent]
+        return self._agents_before > 0 and len(heard) * 2 <= self._agents_before
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
--- a/libs/endivetally/src/endivetally/capacity/role_lines.py
+++ b/libs/endivetally/src/endivetally/capacity/role_lines.py
@@ -157,7 +157,8 @@
     floor = figures.recording.floor('agent')
     frames = figures.last('agent.control.frames')
     frame_bytes = figures.last('agent.control.bytes')
-    slope = figures.slope('agent.control.cpu')
+    # A slope below zero is scatter.
+    slope = max(figures.slope('agent.control.cpu'), 0)
     base = figures.intercept('agent.control.cpu')
     link_mb = figures.slope('agent.control.private')
     return [
