Probe the agents before a takeover, and wait while half of them are silent

Cause: which side of a cut takes over was judged by the agents that an entry watches, a random few.

Now an entry that will suspect another within 1 s probes all agents. While it does not hear more than half of those that it knew before, and for 5 s after, it waits 15 s longer.

Conclusion: an entry of two data centres that lost one of them, and half of the agents, is taken over 15 s later; with three and more there is no delay.

--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -38,6 +38,7 @@
 ABSENCE_S = 1.5
 SUCCESSOR_STEP_S = 1
 ISOLATED_DELAY_S = 15
+DOUBT_S = 1
 
 
 @dataclass(slots=True)
@@ -156,6 +157,11 @@
         now = _now()
         return [known for known in self._known.values() if _is_suspect(known, now)]
 
+    def any_doubtful(self) -> bool:
+        """Return whether an entry is suspected, or soon will be."""
+        soon = _now() + DOUBT_S
+        return any(_is_suspect(known, soon) for known in self._known.values())
+
     def cut_off(self, known: KnownEntry) -> None:
         """Close the links to a suspect, so that nothing waits for it."""
         self._close(known)
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import signal
+from math import inf
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Final
@@ -27,6 +28,8 @@
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
 REPORT_S: Final = 1.5
+ANSWER_S: Final = 0.75
+ISOLATION_GRACE_S: Final = 5
 ACKNOWLEDGE_INTERVAL_S: Final = 60
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
@@ -50,6 +53,7 @@
         self._entry = entry
         self._stopping = asyncio.Event()
         self._agents_before = 0
+        self._isolated_at = -inf
         self._succession = Succession(
             entry.identity,
             entry.entry_links,
@@ -211,7 +215,7 @@
             await self._check_succession()
 
     async def _check_succession(self) -> None:
-        if self._entry.entry_links.suspects():
+        if self._entry.entry_links.any_doubtful():
             # Their answers tell which side of a cut this entry is on.
             self._entry.agent_links.probe_all_agents()
         else:
@@ -223,11 +227,13 @@
             self._fenced()
 
     def _is_isolated(self) -> bool:
-        """Return whether this entry does not hear most of the agents."""
-        recent = asyncio.get_running_loop().time() - REPORT_S
+        """Return whether this entry did not hear most of the agents lately."""
+        now = asyncio.get_running_loop().time()
         agents = self._entry.roster.agents
-        heard = [agent for agent in agents if agent.heard_at > recent]
-        return self._agents_before > 0 and len(heard) * 2 <= self._agents_before
+        heard = [agent for agent in agents if agent.answers(now, REPORT_S, ANSWER_S)]
+        if self._agents_before and len(heard) * 2 <= self._agents_before:
+            self._isolated_at = now
+        return now - self._isolated_at < ISOLATION_GRACE_S
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
--- a/libs/endivetally-entry/src/endivetally_entry/roster.py
+++ b/libs/endivetally-entry/src/endivetally_entry/roster.py
@@ -41,6 +41,18 @@
         self.heard_at = now
         self.probed_at = None
 
+    def answers(self, now: float, heartbeat_s: float, answer_s: float) -> bool:
+        """Whether it was heard lately, or nothing was expected of it.
+
+        :param heartbeat_s: longest time between two heartbeats.
+        :param answer_s: longest time to the answer of a probe.
+        """
+        if self.link is None or self.state == 'silent':
+            return False
+        if self.watched:
+            return now - self.heard_at < heartbeat_s
+        return self.probed_at is None or now - self.probed_at < answer_s
+
     def is_overdue(self, now: float, silence_s: float) -> bool:
         """Whether it had to be heard and was not, for this long."""
         if self.link is None:
--- a/tests/entry/test_roster.py
+++ b/tests/entry/test_roster.py
@@ -46,6 +46,24 @@
         known = await _agent(AgentRoster(), heard_at=0, **fields)
         assert known.is_overdue(elapsed_s, SILENCE_S) == overdue
 
+    @pytest.mark.parametrize(
+        ('fields', 'elapsed_s', 'answers'),
+        [
+            ({}, 99, True),
+            ({'state': 'silent'}, 0, False),
+            ({'link': None}, 0, False),
+            ({'watched': True}, 1.4, True),
+            ({'watched': True}, 1.6, False),
+            ({'probed_at': 0}, 0.7, True),
+            ({'probed_at': 0}, 0.8, False),
+        ],
+    )
+    async def test_an_agent_answers_until_an_answer_is_late(
+        self, fields, elapsed_s, answers
+    ):
+        known = await _agent(AgentRoster(), heard_at=0, **fields)
+        assert known.answers(elapsed_s, 1.5, 0.75) == answers
+
     async def test_a_new_link_begins_without_a_watch(self):
         roster = AgentRoster()
         known = await _agent(roster, heard_at=0, watched=True)
