--- a/libs/endivetally-core/src/endivetally_core/identifiers.py
+++ b/libs/endivetally-core/src/endivetally_core/identifiers.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-HEARTBEAT_WATCHERS: Final = 3
+HEARTBEAT_WATCHERS: Final = 2
 _INCARNATION_BYTES = 8
 
 
@@ -54,6 +54,6 @@
     :param entries: incarnations of the entries that it is linked to.
 
     >>> len(watchers_of('agent-1', ['a', 'b', 'c', 'd']))
-    3
+    2
     """
     return rank_by_rendezvous(agent, entries)[:HEARTBEAT_WATCHERS]
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -18,7 +18,6 @@
 from endivetally_entry.entry import Entry
 from endivetally_entry.entry_links import Succession
 from endivetally_entry.housekeeping import Housekeeping
-from endivetally_entry.watching import Watching
 
 if TYPE_CHECKING:
     from endivetally_config.settings import EntrySettings
@@ -61,7 +60,6 @@
             entry.directory,
             entry.settings.key_retention_s,
         )
-        self._watching = Watching(entry.identity.incarnation)
         self._exit_code = EXIT_OK
 
     async def run(self) -> int:
@@ -220,26 +218,9 @@
     def _is_isolated(self) -> bool:
         """Return whether most agents that report here have fallen silent."""
         recent = asyncio.get_running_loop().time() - REPORT_S
-        watched = self._watched_agents()
-        heard = [
-            agent.identity.incarnation in watched
-            for agent in self._entry.roster.agents
-            if agent.heard_at > recent
-        ]
-        return sum(heard) * 2 < len(watched)
-
-    def _watched_agents(self) -> dict[str, float]:
-        entry = self._entry
-        entries = [known.incarnation for known in entry.known_identities()]
-        agents = {
-            agent.identity.incarnation: agent.identity.name
-            for agent in entry.roster.agents
-        }
-        return self._watching.refresh(
-            entries,
-            agents,
-            asyncio.get_running_loop().time(),
-        )
+        watched = [agent for agent in self._entry.roster.agents if agent.watched]
+        heard = [agent for agent in watched if agent.heard_at > recent]
+        return len(heard) * 2 < len(watched)
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
--- a/libs/endivetally-entry/src/endivetally_entry/roster.py
+++ b/libs/endivetally-entry/src/endivetally_entry/roster.py
@@ -43,6 +43,8 @@
 
     def is_overdue(self, now: float, silence_s: float) -> bool:
         """Whether it had to be heard and was not, for this long."""
+        if self.link is None:
+            return False
         if self.watched:
             return now - self.heard_at > silence_s
         return self.probed_at is not None and now - self.probed_at > silence_s
