Let a fenced entry end while a scenario changes its links

Cause: p1-data-centre-cut-off red once in a run of all: a fenced entry stops listening before it ends, and mending its links met a refused connection. Ruled out: passing over every unreachable process, which would hide a cut that was never made. Conclusion: the step waits for the end of such a process.

--- a/libs/endivetally/src/endivetally/scenarios/network.py
+++ b/libs/endivetally/src/endivetally/scenarios/network.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 from itertools import product
+from typing import Final
 
 import msgspec
 from endivetally_core.shaping import ShapingRule
@@ -11,6 +12,8 @@
 from endivetally.fleet_client import ProcessUnreachable
 from endivetally.scenarios.places import Places
 
+ENDING_TIMEOUT_S: Final = 10
+
 
 class Network:
     """Rules in force, by process and peer.
@@ -77,6 +80,7 @@
         try:
             await self._fleet.client.shape(process.url, rules)
         except ProcessUnreachable:
-            # A fenced entry ends; its rules are applied when it starts again.
+            # A fenced entry stops listening and then ends; its rules are
+            # applied when it starts again.
             if process.alive:
-                raise
+                await process.wait(ENDING_TIMEOUT_S)
