Take not_run back when an entry may have been paused and taken over

The woken owner found its write past the settle timeout and answered platform_unavailable with not_run, though the key had run.

Every not_run of an owner has this hole, admission refusals as well, so it is closed where owners answer: an event loop that stood still for longer than 1.5 s, which is shorter than the silence after which others take over, answers unknown in place of not_run until it has read its own row as live after the pause.

Not covered: an entry that is cut off from the table and all entries, but not paused, while it refuses a key that another one runs.

--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -55,6 +55,7 @@
 from endivetally_entry.measures import Measures
 from endivetally_entry.ownership import Ownership
 from endivetally_entry.peering import Peering
+from endivetally_entry.pulse import Pulse
 from endivetally_entry.recovery import Recovery
 from endivetally_entry.roster import AgentRoster
 from endivetally_entry.routes import make_application
@@ -253,6 +254,7 @@
         )
 
     def _wire_keys(self) -> None:
+        self.pulse = Pulse(asyncio.get_running_loop().time)
         sequences = itertools.count(1)
         self.directory = ShardDirectory(
             self.table,
@@ -287,6 +289,7 @@
             self.dispatcher,
             self.retries,
             self.acknowledgements,
+            self.pulse,
             sequences,
         )
         self.front = Front(
--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -30,6 +30,7 @@
     from endivetally_entry.ledger import KeyLedger
     from endivetally_entry.ledger import KeyRecord
     from endivetally_entry.ownership import Ownership
+    from endivetally_entry.pulse import Pulse
     from endivetally_entry.recovery import Recovery
 
 _log = logging.getLogger(__name__)
@@ -54,6 +55,7 @@
         dispatcher: 'Dispatcher',
         retries: 'RetryPolicy',
         acknowledgements: 'Acknowledgements',
+        pulse: 'Pulse',
         sequences: Iterator[int],
     ) -> None:
         self._incarnation = incarnation
@@ -65,6 +67,7 @@
         self._dispatcher = dispatcher
         self._retries = retries
         self._acknowledgements = acknowledgements
+        self._pulse = pulse
         self._sequences = sequences
         self._running: set[asyncio.Task[None]] = set()
 
@@ -113,7 +116,8 @@
             self._ledger.abandon(record, error)
         except RequestError as error:
             remember = record.journalled and error.ran is not RunState.NOT_RUN
-            self._ledger.finish(record, error_answer(error), remember=remember)
+            answer = error_answer(self._vouched(error))
+            self._ledger.finish(record, answer, remember=remember)
         except Exception:
             _log.exception('request ended by an unexpected error')
             internal = error_answer(RequestError(ErrorKind.INTERNAL))
@@ -121,6 +125,17 @@
         else:
             self._ledger.finish(record, answer, remember=True)
 
+    def _vouched(self, error: RequestError) -> RequestError:
+        """Take ``not_run`` back when another entry may have run the key."""
+        if error.ran is not RunState.NOT_RUN or self._pulse.steady:
+            return error
+        return RequestError(
+            error.kind,
+            error.detail,
+            ran=RunState.UNKNOWN,
+            retry_after_s=error.retry_after_s,
+        )
+
     async def _execute(
         self,
         request: CallerRequest,
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -157,10 +157,12 @@
         entry = self._entry
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
+        asked_at = asyncio.get_running_loop().time()
         live = await entry.registry.live()
         if entry.identity not in live:
             self._fenced()
             return
+        entry.pulse.confirm(asked_at)
         for identity in live:
             entry.entry_links.connect(identity)
         if entry.state == 'open' and entry.journal.available:
@@ -184,6 +186,7 @@
         next_flush = last_tick + ACKNOWLEDGE_INTERVAL_S
         while True:
             await asyncio.sleep(TICK_S)
+            self._entry.pulse.beat()
             now = loop.time()
             if now - last_tick > FROZEN_GAP_S:
                 self._entry.entry_links.restart_silence()
