Let an entry that hears few others wait before it takes over

An entry that has not heard most of the others for 1.5 s now waits 5 s longer, as one that hears few agents does; with one other entry nothing changes.

--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -38,6 +38,7 @@
 ABSENCE_S = 1.5
 SUCCESSOR_STEP_S = 1
 ISOLATED_DELAY_S = 5
+RECENT_S = 1.5
 
 
 @dataclass(slots=True)
@@ -297,9 +298,16 @@
         ranked = rank_by_rendezvous(dead.identity.incarnation, live)
         turn = ranked.index(self._identity.incarnation)
         # Those on the other side of a cut go first: they reach the targets.
-        isolated_s = ISOLATED_DELAY_S if self._is_isolated() else 0
+        isolated_s = ISOLATED_DELAY_S if self._seems_cut_off() else 0
         return turn * SUCCESSOR_STEP_S + isolated_s
 
+    def _seems_cut_off(self) -> bool:
+        recent = _now() - RECENT_S
+        known = self._links.entries
+        quiet = sum(entry.heard_at < recent for entry in known)
+        lost_most = len(known) > 1 and quiet * 2 > len(known)
+        return lost_most or self._is_isolated()
+
     async def _succeed(self, dead: KnownEntry) -> None:
         try:
             await self._take_over(dead.identity)
