--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -26,6 +26,7 @@
     """State of one linked entry.
 
     :param credits: granted and not yet used or given back.
+    :param running: its tasks at the target.
     :param waiting: tasks that wait there, as it said last, less later grants.
     :param revoking: credits that it was asked to give back.
     :param void: credits that the ledger took without waiting for an answer.
@@ -33,11 +34,17 @@
     """
 
     credits: int = 0
+    running: int = 0
     waiting: int = 0
     revoking: int = 0
     void: int = 0
     overdue: bool = False
 
+    @property
+    def share(self) -> int:
+        """Slots that it uses or may use."""
+        return self.credits + self.running
+
     @property
     def idle(self) -> int:
         """Credits that can be asked back: nobody waits for a slot there."""
@@ -97,6 +104,7 @@
         if not self._use_credit(entry, waiting) and self.free == 0:
             orders = self._take_one()
         self.running += 1
+        self._holdings.get(entry, Holding()).running += 1
         return orders
 
     def refuse(self, entry: str, waiting: int, *, withhold: bool = False) -> str:
@@ -116,6 +124,8 @@
         :return: the entry that gets the slot as a credit, or ''.
         """
         self.running -= 1
+        holding = self._holdings.get(entry, Holding())
+        holding.running = max(holding.running - 1, 0)
         return self._pass_on(entry)
 
     def demand(self, entry: str, waiting: int) -> list[CreditOrder]:
@@ -173,12 +183,22 @@
     def _pass_on(self, previous: str) -> str:
         if not self.free or not self._holdings:
             return ''
-        receiver = self._most_waiting()
-        if not self._holdings[receiver].waiting and previous in self._holdings:
-            receiver = previous
+        receiver = previous
+        if previous not in self._holdings:
+            receiver = self._most_waiting()
+        elif self._holdings[previous].share >= self._fair_share():
+            receiver = self._below_share() or previous
         self._grant(receiver)
         return receiver
 
+    def _below_share(self) -> str:
+        least = min(self._holdings, key=self._share_of)
+        even = self.slots // len(self._holdings)
+        return least if self._share_of(least) < even else ''
+
+    def _share_of(self, entry: str) -> int:
+        return self._holdings[entry].share
+
     def _grant(self, entry: str) -> None:
         holding = self._holdings[entry]
         holding.credits += 1
@@ -189,7 +209,7 @@
 
     def _precedence(self, entry: str) -> tuple[int, int]:
         holding = self._holdings[entry]
-        return -holding.waiting, holding.credits
+        return -holding.waiting, holding.share
 
     def _share_free(self) -> list[CreditOrder]:
         granted: dict[str, int] = {}
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
@@ -54,7 +54,7 @@
 
     def submit(self, task: PendingTask, now: float) -> None:
         """Add a task that waits for a target."""
-        self._pool(task.target_pool).queue.push(task)
+        self._pool(task.target_pool).submit(task, now)
 
     def withdraw(self, owner: str, sequence: int) -> list[PendingTask]:
         """Remove and return the waiting tasks of one request."""
@@ -103,8 +103,7 @@
         """Add start credits of an agent."""
         agent = self._agents.get(incarnation)
         if agent is not None and agent.is_open:
-            agent.credits += count
-            self._pool(agent.identity.service).changed(agent)
+            self._pool(agent.identity.service).add_credits(agent, count)
 
     def credits_revoked(self, incarnation: str, count: int) -> int:
         """Give up unused credits; return how many."""
@@ -112,8 +111,7 @@
         if agent is None:
             return 0
         given_back = min(count, agent.credits)
-        agent.credits -= given_back
-        self._pool(agent.identity.service).changed(agent)
+        self._pool(agent.identity.service).add_credits(agent, -given_back)
         return given_back
 
     def task_ended(
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -15,6 +15,7 @@
 from endivetally_policy.scheduling.interface import CreditDemand
 from endivetally_policy.scheduling.ranking import AgentRanking
 from endivetally_policy.scheduling.ranking import TrackedAgent
+from endivetally_policy.scheduling.reserve import PriorityReserve
 
 if TYPE_CHECKING:
     from endivetally_policy.estimates import RunTimeEstimate
@@ -50,6 +51,8 @@
         self._admitted = AgentRanking()
         self._racks: Counter[str] = Counter()
         self._outstanding = 0
+        self._credits = 0
+        self._reserve = PriorityReserve()
         self._running = 0
         self._capacity: int | None = None
         self._reinstated_at = float('-inf')
@@ -81,6 +84,17 @@
         """Return what is known of each agent."""
         return [self._view(agent) for agent in self._agents.values()]
 
+    def submit(self, task: 'PendingTask', now: float) -> None:
+        """Add a task that waits for a target."""
+        self._reserve.submitted(task.priority, now)
+        self.queue.push(task)
+
+    def add_credits(self, agent: TrackedAgent, count: int) -> None:
+        """Add start credits of an agent; a negative count takes them away."""
+        agent.credits += count
+        self._credits += count
+        self.changed(agent)
+
     def join(self, agent: TrackedAgent) -> None:
         """Add an agent."""
         self._agents[agent.incarnation] = agent
@@ -89,8 +103,8 @@
 
     def leave(self, agent: TrackedAgent) -> None:
         """Forget an agent; its tasks are no longer outstanding."""
-        agent.credits = 0
         agent.state = 'closed'
+        self.add_credits(agent, -agent.credits)
         self._running -= agent.running
         self._add_outstanding(agent, -agent.outstanding)
         self.changed(agent)
@@ -117,7 +131,7 @@
             return
         agent.state = state
         if not agent.is_open:
-            agent.credits = 0
+            self.add_credits(agent, -agent.credits)
         self._capacity = None
         self.changed(agent)
 
@@ -173,7 +187,13 @@
             self._outstanding,
         )
 
+    def _is_reserved(self, task: 'PendingTask', now: float) -> bool:
+        held = self._credits + self._outstanding
+        return self._credits <= self._reserve.size(task.priority, held, now)
+
     def _pick(self, task: 'PendingTask', now: float) -> TrackedAgent | None:
+        if self._is_reserved(task, now):
+            return None
         if not task.exclusive:
             probed = self._probe(task, now)
             if probed is not None:
@@ -203,9 +223,8 @@
         )
 
     def _assign(self, task: 'PendingTask', agent: TrackedAgent) -> Binding:
-        agent.credits -= 1
         self._add_outstanding(agent, 1)
-        self.changed(agent)
+        self.add_credits(agent, -1)
         return Binding(task, agent.incarnation)
 
     def _add_outstanding(self, agent: TrackedAgent, count: int) -> None:
