Check the operators' token before a call starts

Cause: a call with a wrong token was started and cancelled; a missing based_on was answered as an internal error. Ruled out: a check in each handler. Conclusion: prepare() refuses, and the table of transport errors names 400.

--- a/libs/endivetally-entry/src/endivetally_entry/callers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/callers.py
@@ -1,7 +1,10 @@
 """HTTP handlers for callers."""
 
 import asyncio
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
+from typing import Final
 
 import msgspec
 from endivetally_config.text import Service
@@ -26,6 +29,15 @@
 BEARER = 'Bearer '
 READY_WAIT_S = 2
 
+# Kinds of the errors that tornado finds itself, by status.
+TRANSPORT_KINDS: Final[Mapping[int, ErrorKind]] = MappingProxyType(
+    {
+        400: ErrorKind.MALFORMED_REQUEST,
+        404: ErrorKind.UNKNOWN_SERVICE,
+        405: ErrorKind.MALFORMED_REQUEST,
+    }
+)
+
 
 class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of a job: any JSON value for each task."""
@@ -63,8 +75,7 @@
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Send the error body for errors that tornado found itself."""
-        kinds = {404: ErrorKind.UNKNOWN_SERVICE, 405: ErrorKind.MALFORMED_REQUEST}
-        kind = kinds.get(status_code, ErrorKind.INTERNAL)
+        kind = TRANSPORT_KINDS.get(status_code, ErrorKind.INTERNAL)
         answer = error_answer(RequestError(kind, self._reason))
         self.set_status(answer.status)
         for name, header in answer.headers.items():
--- a/libs/endivetally-entry/src/endivetally_entry/operators.py
+++ b/libs/endivetally-entry/src/endivetally_entry/operators.py
@@ -1,6 +1,5 @@
 """HTTP handlers for operators, the balancer and other processes."""
 
-import asyncio
 import hmac
 from typing import TYPE_CHECKING
 
@@ -27,14 +26,15 @@
 class OperatorHandler(AnsweringHandler):
     """Base of the calls that need the operators' token."""
 
+    async def prepare(self) -> None:
+        """Refuse the call when its token is wrong."""
+        expected = self._entry.settings.operator_token.encode()
+        if not hmac.compare_digest(self.bearer_token().encode(), expected):
+            wrong = RequestError(ErrorKind.UNAUTHORISED, 'the operator token is wrong')
+            await self.answer_with(error_answer(wrong))
+
     async def answer_operator(self, work: 'Awaitable[bytes]') -> None:
-        """Run a call for an operator whose token is right."""
-        try:
-            self._check_token()
-        except RequestError as error:
-            asyncio.ensure_future(work).cancel()
-            await self.answer_with(error_answer(error))
-            return
+        """Answer with the body that the work returns, or with its error."""
         try:
             body = await work
         except RequestError as error:
@@ -42,11 +42,6 @@
             return
         await self.answer_with(Answer(200, body, headers={'Content-Type': JSON_TYPE}))
 
-    def _check_token(self) -> None:
-        expected = self._entry.settings.operator_token.encode()
-        if not hmac.compare_digest(self.bearer_token().encode(), expected):
-            raise RequestError(ErrorKind.UNAUTHORISED, 'the operator token is wrong')
-
 
 class TextHandler(OperatorHandler):
     """``/v1/text``: the operators' text."""
