Let a cancelled dispatcher end while it wakes up

Cause: asyncio.wait_for of Python 3.11 returns the inner result and drops a cancellation that comes while the inner future is done. The dispatcher's loop then goes on for ever; asyncio.run cancels once and waits for it, so that an entry could hang at its exit. Found by the differential test, whose runs did not end.

Ruled out: a second cancellation at exit, which hides the fault.

--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -4,6 +4,7 @@
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -166,10 +167,10 @@
         timeout: float = IDLE_WAKEUP_S
         if wakeup_at is not None:
             timeout = min(max(wakeup_at - _now(), 0.001), IDLE_WAKEUP_S)
-        try:
-            await asyncio.wait_for(self._wakeup.wait(), timeout)
-        except TimeoutError:
-            return
+        # Unlike wait_for, the block never swallows a cancellation.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._wakeup.wait()
 
     def _bind_ready_tasks(self) -> None:
         now = _now()
--- /dev/null
+++ b/tests/entry/parts.py
@@ -0,0 +1,74 @@
+"""Parts of an entry for unit tests, with a link that keeps what is posted."""
+
+import asyncio
+
+from endivetally_config.text import Service
+from endivetally_core.joining import Address
+from endivetally_core.joining import AgentIdentity
+from endivetally_core.joining import EntryIdentity
+from endivetally_core.links import Link
+from endivetally_core.messages import Dispatch
+from endivetally_entry.dispatching import Dispatcher
+from endivetally_entry.requests import CallerRequest
+from endivetally_entry.roster import AgentRoster
+from endivetally_policy.estimates import RunTimeEstimates
+from endivetally_policy.scheduling import CreditScheduler
+
+AGENT = AgentIdentity('agent-1', 'agent-1.1', 'dc-1', 'r', 'sweeps', 8, 64, 1000)
+
+
+def identity(name='entry-1'):
+    return EntryIdentity(name, f'{name}.1', 'dc-1', Address('127.0.0.1', 1))
+
+
+def request(*tasks, key='k', kind='job'):
+    deadline = asyncio.get_running_loop().time() + 30
+    service = Service('sweeps', kind)
+    return CallerRequest('clerks', service, key, tasks or (b'1',), deadline)
+
+
+class KeptLink(Link):
+    """Keeps what is posted and gives out frames that a test sets."""
+
+    def __init__(self):
+        self.posted = []
+        self.frames = []
+
+    @property
+    def closed(self):
+        return False
+
+    def post(self, message):
+        self.posted.append(message)
+
+    async def receive(self):
+        frame = self.frames.pop(0)
+        if isinstance(frame, Exception):
+            raise frame
+        return frame
+
+    async def flush(self):
+        """Do nothing."""
+
+    def close(self):
+        """Do nothing."""
+
+
+class Dispatching:
+    """A dispatcher with one open agent that has given no credits."""
+
+    def __init__(self):
+        now = asyncio.get_running_loop().time()
+        self.link = KeptLink()
+        self.roster = AgentRoster()
+        self.roster.link_opened(AGENT, self.link)
+        self.scheduler = CreditScheduler('dc-1', RunTimeEstimates())
+        self.scheduler.agent_joined(AGENT, now)
+        self.scheduler.agent_changed(AGENT.incarnation, 'open', 0, now)
+        self.scheduler.admit_agents(frozenset({AGENT.incarnation}))
+        self.dispatcher = Dispatcher(self.scheduler, self.roster)
+        self.running = asyncio.create_task(self.dispatcher.run())
+
+    @property
+    def dispatches(self):
+        return [each for each in self.link.posted if isinstance(each, Dispatch)]
