--- a/libs/endivetally/src/endivetally/scenarios/judgement.py
+++ b/libs/endivetally/src/endivetally/scenarios/judgement.py
@@ -99,15 +99,20 @@
     for refused in stage.callers.submissions:
         if refused.verdict is Verdict.REFUSED:
             times = _times_of(starts, refused.key)
-            if _contradicts(refused, stage.callers.labelled(refused.key), times):
+            if contradicts_refusal(refused, stage.callers.labelled(refused.key), times):
                 yield refused.key
 
 
-def _contradicts(
+def contradicts_refusal(
     refused: Submission,
     submissions: list[Submission],
     times: list[float],
 ) -> bool:
+    """Return whether starts of a key contradict a refusal as not run.
+
+    :param submissions: all submissions of the key.
+    :param times: wall times of its starts.
+    """
     if any(started_s <= refused.answered_s for started_s in times):
         return not any(
             other is not refused
--- a/tests/entry/test_dispatching.py
+++ b/tests/entry/test_dispatching.py
@@ -9,7 +9,6 @@
 from endivetally_core.messages import Outcome
 from endivetally_entry.executions import Execution
 from endivetally_policy.retries import RetryPolicy
-
 from entry.parts import AGENT
 from entry.parts import Dispatching
 from entry.parts import request
--- /dev/null
+++ b/tests/scenario/test_language.py
@@ -0,0 +1,168 @@
+"""Tests of the scenario language and its checks."""
+
+from pathlib import Path
+
+import pytest
+from endivetally.load_answers import CheckedAnswer
+from endivetally.load_answers import Verdict
+from endivetally.load_mix import Arrival
+from endivetally.scenarios import ScenarioInvalid
+from endivetally.scenarios import caller_steps
+from endivetally.scenarios import expectations
+from endivetally.scenarios import fault_steps
+from endivetally.scenarios import parse_scenario
+from endivetally.scenarios import process_steps
+from endivetally.scenarios import selectors
+from endivetally.scenarios import wait_steps
+from endivetally.scenarios.callers import Submission
+from endivetally.scenarios.judgement import contradicts_refusal
+from endivetally.scenarios.places import Places
+from endivetally.scenarios.steps import StepFailed
+from endivetally_config.text import ServiceKind
+
+HEADER = """scenario "a name"
+promise 5
+fleet with 2 entries in 2 data centres, sweeps 3, notes 1
+"""
+FILES = sorted((Path(__file__).parents[1] / 'scenarios').glob('*.scn'))
+
+
+def _parse_step(line):
+    return parse_scenario(f'{HEADER}{line}\n').lines[0].step
+
+
+class TestParse:
+    def test_the_header_names_promise_and_fleet(self):
+        scenario = parse_scenario(f'# note\n{HEADER}pause 1 s\n')
+        assert (scenario.name, scenario.promise) == ('a name', 5)
+        assert len(scenario.deployment.entries) == 2
+        assert [each.name for each in scenario.deployment.text.services] == [
+            'sweeps',
+            'notes',
+        ]
+        assert scenario.lines[0].number == 5
+
+    @pytest.mark.parametrize(
+        ('line', 'step'),
+        [
+            (
+                'submit k1 to sweeps with 3 tasks of 50 ms via entry-1',
+                caller_steps.Submit(
+                    None,
+                    'k1',
+                    'sweeps',
+                    caller_steps.Work(3, 50),
+                    selectors.Named('entry-1'),
+                ),
+            ),
+            (
+                'submit 4 requests n to notes of 50 ms',
+                caller_steps.Submit(4, 'n', 'notes', caller_steps.Work(1, 50), None),
+            ),
+            (
+                'freeze owner of k1',
+                process_steps.Freeze(selectors.Owner('k1')),
+            ),
+            (
+                'kill agent of k1',
+                process_steps.Kill(selectors.Beside('agent', 'k1')),
+            ),
+            (
+                'cut entry-1 from every agent',
+                fault_steps.Shape(
+                    selectors.Named('entry-1'),
+                    selectors.Every('agent'),
+                    {'cut': True},
+                ),
+            ),
+            ('table loses 2 answers', fault_steps.TableFault({'lose_answers': 2})),
+            (
+                'make target-1 slow 20 times',
+                fault_steps.TargetFault(
+                    selectors.Named('target-1'), {'slow_factor': 20}
+                ),
+            ),
+            ('wait for 3 starts of k1', wait_steps.WaitStarts(3, 'k1')),
+            ('pause 0.5 s', wait_steps.Pause(0.5)),
+            (
+                'expect k1 whole or failed task_failed',
+                expectations.ExpectAnswers(
+                    'k1',
+                    (
+                        expectations.AllowedAnswer(Verdict.WHOLE),
+                        expectations.AllowedAnswer(Verdict.FAILED, 'task_failed'),
+                    ),
+                ),
+            ),
+            (
+                'expect starts of k1 at most 3',
+                expectations.ExpectStarts('k1', 'at most', 3),
+            ),
+            ('expect doubled 0', expectations.ExpectTotal('doubled', 0)),
+        ],
+    )
+    def test_steps(self, line, step):
+        assert _parse_step(line) == step
+
+    @pytest.mark.parametrize(
+        'line',
+        ['explode entry-1', 'submit k1 to sweeps', 'expect k1 nice', 'pause s'],
+    )
+    def test_other_lines_are_refused(self, line):
+        with pytest.raises(ScenarioInvalid):
+            _parse_step(line)
+
+    @pytest.mark.parametrize('file', FILES, ids=lambda file: file.stem)
+    def test_the_scenarios_of_the_repository_parse(self, file):
+        assert parse_scenario(file.read_text()).lines
+
+
+class TestPlaces:
+    @pytest.mark.parametrize(
+        ('name', 'expected'),
+        [
+            ('entry-2', ['entry-2']),
+            ('rack-2', ['agent-2', 'target-2', 'agent-4', 'target-4']),
+            ('given', ['agent-1']),
+        ],
+    )
+    def test_names(self, name, expected):
+        places = Places(parse_scenario(f'{HEADER}pause 1 s\n').deployment)
+        places.give('given', ['agent-1'])
+        assert places.named(name) == expected
+
+    def test_an_unknown_name_fails_the_step(self):
+        places = Places(parse_scenario(f'{HEADER}pause 1 s\n').deployment)
+        with pytest.raises(StepFailed):
+            places.named('nobody')
+
+
+def _submission(kind, sent_s, answered_s, verdict):
+    arrival = Arrival(0, 'notes', kind, 'k1', [1])
+    submission = Submission('k1', arrival, sent_s)
+    submission.answer = CheckedAnswer(verdict)
+    submission.answered_s = answered_s
+    return submission
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ('other', 'starts', 'expected'),
+        [
+            (None, [], False),
+            (None, [1.5], True),
+            (None, [5.0], True),
+            ((3.0, 4.0, Verdict.WHOLE), [3.5], False),
+            ((3.0, 4.0, Verdict.WHOLE), [1.5], True),
+            ((0.5, 1.8, Verdict.WHOLE), [1.5], True),
+        ],
+    )
+    def test_a_refused_key_may_run_only_for_a_later_submission(
+        self, other, starts, expected
+    ):
+        kind = ServiceKind.NON_IDEMPOTENT
+        refused = _submission(kind, 1.0, 2.0, Verdict.REFUSED)
+        submissions = [refused]
+        if other is not None:
+            submissions.append(_submission(kind, *other))
+        assert contradicts_refusal(refused, submissions, starts) is expected
