Send nothing of a request that was answered as not run

Cause: a cancellation (or a last refusal) took the run state while a task of the request still waited for a slot, then the dispatcher, awake in the same turn of the loop, bound and sent that task before the request took it back. The caller was told not_run and the task could start.

Now what waits is taken back before the state is taken, as the deadline did already.

--- a/libs/endivetally-entry/src/endivetally_entry/executions.py
+++ b/libs/endivetally-entry/src/endivetally_entry/executions.py
@@ -94,7 +94,7 @@
 
     def cancel(self) -> None:
         """Give up at the caller's wish."""
-        self._fail(RequestError(ErrorKind.CANCELLED, ran=self._run_state()))
+        self._give_up(ErrorKind.CANCELLED)
 
     def binding_ended(self, task: PendingTask, agent: str, outcome: Outcome) -> None:
         """Store a result, bind the task again, or fail the request."""
@@ -112,12 +112,9 @@
     def binding_expired(self, task: PendingTask) -> None:
         """Fail the request: a task could not start before the deadline."""
         self._sent.pop(task.name.number, None)
-        self._fail(
-            RequestError(
-                ErrorKind.OVERLOADED,
-                'no slot became free before the deadline',
-                ran=self._run_state(),
-            ),
+        self._give_up(
+            ErrorKind.OVERLOADED,
+            'no slot became free before the deadline',
         )
 
     def _handle_failure(
@@ -163,8 +160,7 @@
             attempt = task.name.attempt + 1
             loop.call_later(decision.delay_s, self._bind, number, attempt, avoid)
             return
-        detail = outcome.reason or outcome.status
-        self._fail(RequestError(decision.error, detail, ran=self._run_state()))
+        self._give_up(decision.error, outcome.reason or outcome.status)
 
     async def _run_missing_tasks(self, finished: 'asyncio.Future[None]') -> None:
         self._retries.bound(self._request.service.name, len(self._request.tasks))
@@ -198,8 +194,7 @@
     def _deadline_reached(self) -> None:
         self._withdraw()
         kind = ErrorKind.DEADLINE_EXCEEDED if self._sent else ErrorKind.OVERLOADED
-        detail = 'the deadline passed before every task had ended'
-        self._fail(RequestError(kind, detail, ran=self._run_state()))
+        self._give_up(kind, 'the deadline passed before every task had ended')
 
     def _run_state(self) -> RunState:
         if self._some_ran or self._results:
@@ -213,6 +208,11 @@
         if whole and self._finished is not None and not self._finished.done():
             self._finished.set_result(None)
 
+    def _give_up(self, kind: ErrorKind, detail: str = '') -> None:
+        """Fail the request; nothing that waits of it is sent from now on."""
+        self._withdraw()
+        self._fail(RequestError(kind, detail, ran=self._run_state()))
+
     def _fail(self, error: EndivetallyError) -> None:
         if self._finished is not None and not self._finished.done():
             self._finished.set_exception(error)
--- a/tests/entry/parts.py
+++ b/tests/entry/parts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from endivetally_config.text import Service
+from endivetally_config.text import ServiceKind
 from endivetally_core.joining import Address
 from endivetally_core.joining import AgentIdentity
 from endivetally_core.joining import EntryIdentity
@@ -23,7 +24,7 @@
 
 def request(*tasks, key='k', kind='job'):
     deadline = asyncio.get_running_loop().time() + 30
-    service = Service('sweeps', kind)
+    service = Service('sweeps', ServiceKind(kind))
     return CallerRequest('clerks', service, key, tasks or (b'1',), deadline)
 
 
