Forget a refusal once its key comes again

Cause: a former owner answers that a key never started when it had refused it, also when a later submission of the key had been journalled, had started tasks and was given up because the entry was fenced. The new owner then took the key for untouched and could start its tasks a second time.

--- a/libs/endivetally-entry/src/endivetally_entry/ledger.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -19,6 +19,7 @@
 
     :param execution: set while tasks run.
     :param journalled: tasks may have started under this entry's name.
+    :param refused: an earlier run of the key was journalled and never started.
     :param finished_at: time on the event loop's clock.
     """
 
@@ -29,6 +30,7 @@
     )
     execution: Execution | None = None
     journalled: bool = False
+    refused: bool = False
     finished_at: float = 0
 
 
@@ -73,6 +75,8 @@
     def open(self, name: KeyName, body_hash: bytes) -> KeyRecord:
         """Start a record."""
         record = KeyRecord(name, body_hash)
+        # From now on tasks may start again.
+        record.refused = self._never_started.pop(name, None) is not None
         self._records[name] = record
         return record
 
@@ -82,7 +86,7 @@
         record.execution = None
         if not remember:
             self._records.pop(record.name, None)
-            if record.journalled:
+            if record.journalled or record.refused:
                 self._never_started[record.name] = record.finished_at
         if not record.answer.done():
             record.answer.set_result(answer)
@@ -91,6 +95,8 @@
         """Forget a record whose key another entry owns now."""
         self._records.pop(record.name, None)
         record.execution = None
+        if record.refused and not record.journalled:
+            self._never_started[record.name] = asyncio.get_running_loop().time()
         if not record.answer.done():
             record.answer.set_exception(error)
 
