--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -4,6 +4,7 @@
 import logging
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import EndivetallyError
@@ -129,9 +130,11 @@
         known = await self._recovery.results_of_former_owners(request)
         if len(known) == len(request.tasks):
             return [known[number] for number in range(len(known))]
-        self._admit(request, resumed=bool(known))
+        with _known_to_have_run(resumed=bool(known)):
+            self._admit(request)
         sequence = next(self._sequences)
-        await self._make_durable(request, sequence)
+        with _known_to_have_run(resumed=bool(known)):
+            await self._make_durable(request, sequence)
         record.journalled = True
         execution = Execution(
             request,
@@ -147,25 +150,14 @@
         finally:
             self._acknowledgements.add(execution.agents, execution.sequence)
 
-    def _admit(self, request: CallerRequest, *, resumed: bool) -> None:
-        now = asyncio.get_running_loop().time()
-        try:
-            self._admission.check(
-                request.team,
-                request.service.name,
-                len(request.tasks),
-                request.deadline,
-                now,
-            )
-        except RequestError as error:
-            if resumed:
-                raise RequestError(
-                    error.kind,
-                    error.detail,
-                    ran=RunState.RAN,
-                    retry_after_s=error.retry_after_s,
-                ) from error
-            raise
+    def _admit(self, request: CallerRequest) -> None:
+        self._admission.check(
+            request.team,
+            request.service.name,
+            len(request.tasks),
+            request.deadline,
+            asyncio.get_running_loop().time(),
+        )
 
     async def _make_durable(self, request: CallerRequest, sequence: int) -> None:
         entry = JournalEntry(
@@ -190,3 +182,19 @@
             if isinstance(error, RequestError):
                 raise
             raise RequestError(ErrorKind.PLATFORM_UNAVAILABLE) from error
+
+
+@contextmanager
+def _known_to_have_run(*, resumed: bool) -> Iterator[None]:
+    """Answer that the work ran, when a former owner has run a part of it."""
+    try:
+        yield
+    except RequestError as error:
+        if not resumed:
+            raise
+        raise RequestError(
+            error.kind,
+            error.detail,
+            ran=RunState.RAN,
+            retry_after_s=error.retry_after_s,
+        ) from error
