Carry out a cancellation that comes before the first binding

The record remembers it now. In the test the job went on to its deadline before (overloaded); it ends as cancelled, not_run, after.

--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -93,6 +93,7 @@
         record = self._ledger.get(request.name)
         if record is None:
             raise RequestError(ErrorKind.UNKNOWN_JOB)
+        record.cancelled = True
         if record.execution is not None:
             record.execution.cancel()
         return Answer(202, b'{}')
@@ -136,6 +137,9 @@
         with _known_to_have_run(resumed=bool(known)):
             await self._make_durable(request, sequence)
         record.journalled = True
+        if record.cancelled:
+            ran = RunState.RAN if known else RunState.NOT_RUN
+            raise RequestError(ErrorKind.CANCELLED, ran=ran)
         execution = Execution(
             request,
             self._incarnation,
--- a/libs/endivetally-entry/src/endivetally_entry/ledger.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -20,6 +20,7 @@
     :param execution: set while tasks run.
     :param journalled: tasks may have started under this entry's name.
     :param refused: an earlier run of the key was journalled and never started.
+    :param cancelled: the caller wants no run any more.
     :param finished_at: time on the event loop's clock.
     """
 
@@ -31,6 +32,7 @@
     execution: Execution | None = None
     journalled: bool = False
     refused: bool = False
+    cancelled: bool = False
     finished_at: float = 0
 
 
