--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -40,6 +40,8 @@
 
     :param scheduler: learns which agents can take tasks.
     :param journal: admits agents to tasks that may run at most once.
+    :param registered: set once this entry's row is in the table; a journal
+        without it takes itself for fenced.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         journal: 'Journal',
         recovery: 'Recovery',
         acknowledgements: 'Acknowledgements',
+        registered: asyncio.Event,
     ) -> None:
         self._roster = roster
         self._exchange = exchange
@@ -59,6 +62,7 @@
         self._journal = journal
         self._recovery = recovery
         self._acknowledgements = acknowledgements
+        self._registered = registered
 
     async def serve(self, identity: AgentIdentity, listener: 'LinkListener') -> None:
         """Serve one link until it ends, then wait for the next a little."""
@@ -155,6 +159,7 @@
         self._dispatcher.wake()
 
     async def _admit(self, incarnation: str) -> None:
+        await self._registered.wait()
         while True:
             try:
                 await self._journal.admit_agents(frozenset((incarnation,)))
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -75,6 +75,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.state = 'starting'
+        self.registered = asyncio.Event()
         self.opened = asyncio.Event()
         self.stack = AsyncExitStack()
         self.shaper = RuleShaper()
@@ -243,6 +244,7 @@
             self.journal,
             self.recovery,
             self.acknowledgements,
+            self.registered,
         )
 
     def _wire_keys(self) -> None:
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -109,6 +109,7 @@
     async def _join(self) -> None:
         entry = self._entry
         await entry.registry.register(entry.identity)
+        entry.registered.set()
         await entry.keeper.load(entry.table)
         await entry.ownership.start()
         await self._connect_entries()
