Admit nothing for shards whose release is undecided

Cause: when the release of shards took effect but its answer was lost and the table then failed, the entry went on as their owner until its next look at the map.

The shards now stay closed until a later call settles the release: it moves them to the entry itself, which raises the map's version, so that a release that is still under way conflicts.

Ruled out: reading the map alone, since a late commit can land after it.

--- a/libs/endivetally-entry/src/endivetally_entry/ownership.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ownership.py
@@ -105,17 +105,28 @@
         :raises TableUnavailable: when the table does not answer.
         """
         own = self._identity.incarnation
+        await self._settle_release()
         moves = self._directory.shard_map.misplaced(own, [own, *linked])
         for move in moves:
+            # Stays in force when the call fails: it may have taken effect.
             self._releasing = frozenset(move.shards)
-            try:
-                await self._journal.flush()
-                await self._directory.release(self._identity, move.shards, move.to)
-            finally:
-                self._releasing = frozenset()
+            await self._journal.flush()
+            await self._directory.release(self._identity, move.shards, move.to)
+            self._releasing = frozenset()
             _log.info('shards released', extra={'to': move.to})
         return sum(len(moved.shards) for moved in moves)
 
+    async def _settle_release(self) -> None:
+        """Take back an undecided release, unless it has taken effect.
+
+        The move to itself raises the version of the map, so that an earlier
+        transaction can't take effect after it.
+        """
+        if self._releasing:
+            own = self._identity.incarnation
+            await self._directory.release(self._identity, self._releasing, own)
+            self._releasing = frozenset()
+
     def holds_history(self) -> bool:
         """Return whether the journals of all former owners have been read."""
         return not self._missing_histories()
