Take in the end of a task that stands right behind its recall

Cause: the report of a recalled task as running was handed to a waiting task and the name was watched for only when that one ran, after every agent had reported (up to 3 s with a silent one). An outcome that came before was dropped as stray; the job then waited to its deadline and failed although the result had arrived. The name is watched from the report on.

In the test the outcome in the same frame was dropped before; the result is found after.

--- a/libs/endivetally-entry/src/endivetally_entry/recovery.py
+++ b/libs/endivetally-entry/src/endivetally_entry/recovery.py
@@ -51,6 +51,17 @@
     agents: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingRecall:
+    """A recall whose report is awaited.
+
+    :param reported: set when the report has been taken in.
+    """
+
+    findings: '_Findings'
+    reported: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 @dataclass(slots=True)
 class _Findings:
     """What the agents say about the tasks of one key."""
@@ -101,7 +112,7 @@
         self._settled: set[tuple[KeyName, str]] = set()
         self._read: dict[str, frozenset[int]] = {}
         self._recall_ids = itertools.count(1)
-        self._recalls: dict[int, asyncio.Future[Recalled]] = {}
+        self._recalls: dict[int, _PendingRecall] = {}
         self._late: dict[TaskName, _Findings] = {}
 
     def unread(self, owner: str, shards: frozenset[int]) -> frozenset[int]:
@@ -164,9 +175,15 @@
 
     def recalled(self, message: Recalled) -> None:
         """Take an agent's report."""
-        future = self._recalls.pop(message.recall_id, None)
-        if future is not None and not future.done():
-            future.set_result(message)
+        recall = self._recalls.pop(message.recall_id, None)
+        if recall is None:
+            return
+        for outcome in message.outcomes:
+            recall.findings.add(outcome)
+            if outcome.status == 'running':
+                # Its end may stand right behind the report.
+                self._late[outcome.name] = recall.findings
+        recall.reported.set()
 
     def outcome_received(self, outcome: Outcome) -> bool:
         """Take the outcome of a binding that still ran when it was recalled."""
@@ -200,36 +217,36 @@
         findings: _Findings,
     ) -> None:
         reports = await asyncio.gather(
-            *(self._recall(prior, agent) for agent in prior.agents),
+            *(self._recall(prior, agent, findings) for agent in prior.agents),
         )
-        for report in reports:
-            if report is None:
-                findings.unreachable = True
-                continue
-            for outcome in report.outcomes:
-                findings.add(outcome)
+        findings.unreachable = findings.unreachable or not all(reports)
 
-    async def _recall(self, prior: FormerRequest, agent: str) -> Recalled | None:
+    async def _recall(
+        self,
+        prior: FormerRequest,
+        agent: str,
+        findings: _Findings,
+    ) -> bool:
+        """Take in an agent's report; return whether it came in time."""
         known = self._roster.get(agent)
         if known is None or known.link is None:
-            return None
+            return False
         recall_id = next(self._recall_ids)
-        future: asyncio.Future[Recalled] = asyncio.get_running_loop().create_future()
-        self._recalls[recall_id] = future
+        recall = _PendingRecall(findings)
+        self._recalls[recall_id] = recall
         self._roster.post(agent, Fence(prior.owner))
         self._roster.post(agent, Recall(recall_id, prior.owner, prior.sequence))
         try:
-            return await asyncio.wait_for(future, RECALL_TIMEOUT_S)
+            await asyncio.wait_for(recall.reported.wait(), RECALL_TIMEOUT_S)
         except TimeoutError:
             self._recalls.pop(recall_id, None)
-            return None
+            return recall.reported.is_set()
+        return True
 
     async def _wait_for_running(self, findings: _Findings, deadline: float) -> None:
         if not findings.running:
             return
         findings.settled.clear()
-        for name in findings.running:
-            self._late[name] = findings
         left_s = deadline - asyncio.get_running_loop().time()
         try:
             await asyncio.wait_for(findings.settled.wait(), left_s)
