Drop a text that does not decode without ending the link

Cause: a malformed text of a peer raised through the receive loop, ended the link, and with it the task that keeps dialling the peer: it was not dialled again. The text is counted as malformed and dropped; the frame's other messages are handled. The test ended with MalformedMessage before.

--- a/libs/endivetally-entry/src/endivetally_entry/exchange.py
+++ b/libs/endivetally-entry/src/endivetally_entry/exchange.py
@@ -103,7 +103,7 @@
         message: AnyMessage,
     ) -> None:
         if isinstance(message, TextUpdate):
-            self._keeper.adopt(message.version, message.text)
+            self._adopt(message)
         elif isinstance(message, TextRequest):
             update = self.text_update()
             if update is not None:
@@ -111,6 +111,13 @@
         else:
             self._hand_over(receiver, message)
 
+    def _adopt(self, update: TextUpdate) -> None:
+        try:
+            self._keeper.adopt(update.version, update.text)
+        except MalformedMessage:
+            self.counters.malformed += 1
+            _log.warning('text does not decode', extra={'version': update.version})
+
     def _hand_over(self, receiver: MessageReceiver, message: AnyMessage) -> None:
         try:
             receiver.handle(message)
