--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -52,6 +52,8 @@
     :param scheduler: learns which agents can take tasks.
     :param journal: admits agents to tasks that may run at most once.
     :param describe: returns the state of this entry.
+    :param registered: set once this entry's row is in the table; a journal
+        without it takes itself for fenced.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         recovery: 'Recovery',
         acknowledgements: 'Acknowledgements',
         describe: 'Callable[[], EntryState]',
+        registered: asyncio.Event,
     ) -> None:
         self._roster = roster
         self._exchange = exchange
@@ -74,6 +77,7 @@
         self._acknowledgements = acknowledgements
         self._describe = describe
         self._told_addresses: list[str] = []
+        self._registered = registered
 
     async def serve(self, identity: AgentIdentity, listener: 'LinkListener') -> None:
         """Serve one link until it ends, then wait for the next a little."""
@@ -224,6 +228,7 @@
         self._dispatcher.wake()
 
     async def _admit(self, incarnation: str) -> None:
+        await self._registered.wait()
         while True:
             try:
                 await self._journal.admit_agents(frozenset((incarnation,)))
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -55,6 +55,7 @@
 from endivetally_entry.measures import Measures
 from endivetally_entry.ownership import Ownership
 from endivetally_entry.peering import Peering
+from endivetally_entry.pulse import Pulse
 from endivetally_entry.recovery import Recovery
 from endivetally_entry.roster import AgentRoster
 from endivetally_entry.routes import make_application
@@ -76,6 +77,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.state = 'starting'
+        self.registered = asyncio.Event()
         self.opened = asyncio.Event()
         self.stack = AsyncExitStack()
         self.shaper = RuleShaper()
@@ -250,9 +252,11 @@
             self.recovery,
             self.acknowledgements,
             lambda: EntryState(self.state),
+            self.registered,
         )
 
     def _wire_keys(self) -> None:
+        self.pulse = Pulse(asyncio.get_running_loop().time)
         sequences = itertools.count(1)
         self.directory = ShardDirectory(
             self.table,
@@ -287,6 +291,7 @@
             self.dispatcher,
             self.retries,
             self.acknowledgements,
+            self.pulse,
             sequences,
         )
         self.front = Front(
--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -38,7 +38,9 @@
 ABSENCE_S = 1.5
 SUCCESSOR_STEP_S = 1
 ISOLATED_DELAY_S = 15
+LONELY_DELAY_S = 5
 DOUBT_S = 1
+RECENT_S = 1.5
 
 
 @dataclass(slots=True)
@@ -303,8 +305,16 @@
         ranked = rank_by_rendezvous(dead.identity.incarnation, live)
         turn = ranked.index(self._identity.incarnation)
         # Those on the other side of a cut go first: they reach the targets.
-        isolated_s = ISOLATED_DELAY_S if self._is_isolated() else 0
-        return turn * SUCCESSOR_STEP_S + isolated_s
+        return turn * SUCCESSOR_STEP_S + self._cut_off_delay_s()
+
+    def _cut_off_delay_s(self) -> float:
+        if self._is_isolated():
+            return ISOLATED_DELAY_S
+        recent = _now() - RECENT_S
+        known = self._links.entries
+        quiet = sum(entry.heard_at < recent for entry in known)
+        lost_most = len(known) > 1 and quiet * 2 > len(known)
+        return LONELY_DELAY_S if lost_most else 0
 
     async def _succeed(self, dead: KnownEntry) -> None:
         try:
--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -4,6 +4,7 @@
 import logging
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import EndivetallyError
@@ -30,6 +31,7 @@
     from endivetally_entry.ledger import KeyLedger
     from endivetally_entry.ledger import KeyRecord
     from endivetally_entry.ownership import Ownership
+    from endivetally_entry.pulse import Pulse
     from endivetally_entry.recovery import Recovery
 
 _log = logging.getLogger(__name__)
@@ -54,6 +56,7 @@
         dispatcher: 'Dispatcher',
         retries: 'RetryPolicy',
         acknowledgements: 'Acknowledgements',
+        pulse: 'Pulse',
         sequences: Iterator[int],
     ) -> None:
         self._incarnation = incarnation
@@ -65,6 +68,7 @@
         self._dispatcher = dispatcher
         self._retries = retries
         self._acknowledgements = acknowledgements
+        self._pulse = pulse
         self._sequences = sequences
         self._running: set[asyncio.Task[None]] = set()
 
@@ -92,6 +96,7 @@
         record = self._ledger.get(request.name)
         if record is None:
             raise RequestError(ErrorKind.UNKNOWN_JOB)
+        record.cancelled = True
         if record.execution is not None:
             record.execution.cancel()
         return Answer(202, b'{}')
@@ -113,7 +118,8 @@
             self._ledger.abandon(record, error)
         except RequestError as error:
             remember = record.journalled and error.ran is not RunState.NOT_RUN
-            self._ledger.finish(record, error_answer(error), remember=remember)
+            answer = error_answer(self._vouched(error))
+            self._ledger.finish(record, answer, remember=remember)
         except Exception:
             _log.exception('request ended by an unexpected error')
             internal = error_answer(RequestError(ErrorKind.INTERNAL))
@@ -121,6 +127,17 @@
         else:
             self._ledger.finish(record, answer, remember=True)
 
+    def _vouched(self, error: RequestError) -> RequestError:
+        """Take ``not_run`` back when another entry may have run the key."""
+        if error.ran is not RunState.NOT_RUN or self._pulse.steady:
+            return error
+        return RequestError(
+            error.kind,
+            error.detail,
+            ran=RunState.UNKNOWN,
+            retry_after_s=error.retry_after_s,
+        )
+
     async def _execute(
         self,
         request: CallerRequest,
@@ -129,10 +146,15 @@
         known = await self._recovery.results_of_former_owners(request)
         if len(known) == len(request.tasks):
             return [known[number] for number in range(len(known))]
-        self._admit(request, resumed=bool(known))
+        with _known_to_have_run(resumed=bool(known)):
+            self._admit(request)
         sequence = next(self._sequences)
-        await self._make_durable(request, sequence)
+        with _known_to_have_run(resumed=bool(known)):
+            await self._make_durable(request, sequence)
         record.journalled = True
+        if record.cancelled:
+            ran = RunState.RAN if known else RunState.NOT_RUN
+            raise RequestError(ErrorKind.CANCELLED, ran=ran)
         execution = Execution(
             request,
             self._incarnation,
@@ -147,25 +169,14 @@
         finally:
             self._acknowledgements.add(execution.agents, execution.sequence)
 
-    def _admit(self, request: CallerRequest, *, resumed: bool) -> None:
-        now = asyncio.get_running_loop().time()
-        try:
-            self._admission.check(
-                request.team,
-                request.service.name,
-                len(request.tasks),
-                request.deadline,
-                now,
-            )
-        except RequestError as error:
-            if resumed:
-                raise RequestError(
-                    error.kind,
-                    error.detail,
-                    ran=RunState.RAN,
-                    retry_after_s=error.retry_after_s,
-                ) from error
-            raise
+    def _admit(self, request: CallerRequest) -> None:
+        self._admission.check(
+            request.team,
+            request.service.name,
+            len(request.tasks),
+            request.deadline,
+            asyncio.get_running_loop().time(),
+        )
 
     async def _make_durable(self, request: CallerRequest, sequence: int) -> None:
         entry = JournalEntry(
@@ -190,3 +201,19 @@
             if isinstance(error, RequestError):
                 raise
             raise RequestError(ErrorKind.PLATFORM_UNAVAILABLE) from error
+
+
+@contextmanager
+def _known_to_have_run(*, resumed: bool) -> Iterator[None]:
+    """Answer that the work ran, when a former owner has run a part of it."""
+    try:
+        yield
+    except RequestError as error:
+        if not resumed:
+            raise
+        raise RequestError(
+            error.kind,
+            error.detail,
+            ran=RunState.RAN,
+            retry_after_s=error.retry_after_s,
+        ) from error
