--- a/libs/endivetally/src/endivetally/capacity/page.py
+++ b/libs/endivetally/src/endivetally/capacity/page.py
@@ -22,7 +22,8 @@
 [capacity/slopes.json](capacity/slopes.json), which `endivetally bench control
 --json` writes; a test compares the two. It extrapolates: nothing here ran at the
 size of the design. Sizes that were measured stand beside each slope. Processes
-shared one machine with other work; the standard error shows the scatter."""
+shared one machine with other work; the standard error shows the scatter. Parts of
+the file may have been recorded at different times (`--only`)."""
 ENTRIES_NOTE: Final = """\
 A mean job of 100 tasks is assumed; the journal's lines show other sizes. An entry
 is one process on one core. The busy share leaves room for bursts, and for the
