--- a/libs/endivetally-config/src/endivetally_config/settings.py
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -11,6 +11,7 @@
 LogLevel = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 Seconds = Annotated[int, msgspec.Meta(ge=1, le=86_400)]
 BodyBytes = Annotated[int, msgspec.Meta(ge=1, le=64 * 1024 * 1024)]
+WritesPerSecond = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 Megabytes = Annotated[int, msgspec.Meta(ge=1, le=1024)]
 
 
@@ -38,6 +39,7 @@
     max_body_bytes: BodyBytes = 8 * 1024 * 1024
     key_retention_s: Seconds = 900
     key_memory_mb: Megabytes = 64
+    table_writes_per_s: WritesPerSecond = 250
     drain_timeout_s: Seconds = 60
     scheduler: SchedulerName = 'credits'
 
--- a/libs/endivetally-table/src/endivetally_table/journal.py
+++ b/libs/endivetally-table/src/endivetally_table/journal.py
@@ -22,6 +22,7 @@
 
 from endivetally_table.batches import JournalBatch
 from endivetally_table.batches import JournalEntry
+from endivetally_table.pacing import WritePacer
 from endivetally_table.pending import PendingBatch
 from endivetally_table.segments import Pruning
 from endivetally_table.segments import SegmentLog
@@ -30,6 +31,7 @@
 
 SETTLE_TIMEOUT_S: Final = 2.0
 PROBE_INTERVAL_S: Final = 0.5
+WRITES_PER_S: Final = 250
 _WRITE_ID_BYTES: Final = 8
 
 _logger = logging.getLogger(__name__)
@@ -56,6 +58,7 @@
     :param identity: the entry, registered in the table.
     :param probe_interval_s: seconds between probes during an outage.
     :param settle_timeout_s: seconds until a write is given up.
+    :param writes_per_s: this entry's share of the writes that the table takes.
     """
 
     def __init__(
@@ -65,12 +68,14 @@
         *,
         probe_interval_s: float = PROBE_INTERVAL_S,
         settle_timeout_s: float = SETTLE_TIMEOUT_S,
+        writes_per_s: float = WRITES_PER_S,
     ) -> None:
         self.counters = JournalCounters()
         self._batches = BatchWriter(table, identity.incarnation)
         self._incarnation = identity.incarnation
         self._probe_interval_s = probe_interval_s
         self._settle_timeout_s = settle_timeout_s
+        self._pacer = WritePacer(writes_per_s, _now())
         self._number = 0
         self._admitted: frozenset[str] = frozenset()
         self._pending = PendingBatch()
@@ -96,6 +101,11 @@
         """Reads that settled a write with a lost answer."""
         return self._batches.read_backs
 
+    @property
+    def writes_per_s(self) -> float:
+        """Rate that the writes of this entry keep within."""
+        return self._pacer.rate
+
     @property
     def fenced(self) -> bool:
         """Whether this incarnation has ended."""
@@ -106,6 +116,10 @@
         """Agent incarnations that non-idempotent tasks may be bound to."""
         return frozenset() if self._fenced else self._admitted
 
+    def set_rate(self, writes_per_s: float) -> None:
+        """Set this entry's share of the writes that the table takes."""
+        self._pacer.set_rate(writes_per_s, _now())
+
     async def record(self, entry: JournalEntry) -> None:
         """Make an entry durable; a caller that gives up never starts it.
 
@@ -193,6 +207,7 @@
         while not self._fenced:
             await self._ready.wait()
             self._idle.clear()
+            await asyncio.sleep(self._pacer.take(_now()))
             await self._write_next()
             self._idle.set()
             if not self._available:
@@ -268,3 +283,7 @@
         'the journal can not be written',
         ran=RunState.NOT_RUN,
     )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/table/test_pacing.py
@@ -0,0 +1,48 @@
+"""Tests of the writes' pace."""
+
+import asyncio
+
+import pytest
+from endivetally_core.joining import Address
+from endivetally_core.joining import EntryIdentity
+from endivetally_table.batches import JournalEntry
+from endivetally_table.entries import EntryRegistry
+from endivetally_table.journal import Journal
+from endivetally_table.memory import MemoryTable
+from endivetally_table.pacing import BURST_WRITES
+from endivetally_table.pacing import WritePacer
+
+IDENTITY = EntryIdentity('entry-1', 'entry-1.1', 'dc-1', Address('127.0.0.1', 1))
+
+
+def _entry(sequence):
+    return JournalEntry(sequence, 'team', 'service', f'k{sequence}', b'', 1, 0)
+
+
+class TestWritePacer:
+    def test_no_wait_below_the_rate(self):
+        pacer = WritePacer(10, 0)
+        assert not any(pacer.take(turn * 0.1) for turn in range(100))
+
+    def test_follows_a_new_rate(self):
+        pacer = WritePacer(10, 0)
+        for _ in range(BURST_WRITES):
+            pacer.take(0)
+        pacer.set_rate(2, 0)
+        assert pacer.take(0) == pytest.approx(0.5)
+
+
+class TestJournal:
+    async def test_groups_what_gathers_above_the_rate(self):
+        table = MemoryTable()
+        await EntryRegistry(table).register(IDENTITY)
+        journal = Journal(table, IDENTITY, writes_per_s=5)
+        for sequence in range(BURST_WRITES):
+            await journal.record(_entry(sequence))
+        later = range(BURST_WRITES, BURST_WRITES + 30)
+        first = asyncio.create_task(journal.record(_entry(1000)))
+        await asyncio.sleep(0)
+        await asyncio.gather(first, *(journal.record(_entry(each)) for each in later))
+        assert journal.counters.writes == BURST_WRITES + 1
+        assert journal.counters.rows == BURST_WRITES + 31
+        journal.close()
