--- a/libs/endivetally-entry/src/endivetally_entry/keyed.py
+++ b/libs/endivetally-entry/src/endivetally_entry/keyed.py
@@ -4,6 +4,7 @@
 import logging
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import EndivetallyError
@@ -95,6 +96,7 @@
         record = self._ledger.get(request.name)
         if record is None:
             raise RequestError(ErrorKind.UNKNOWN_JOB)
+        record.cancelled = True
         if record.execution is not None:
             record.execution.cancel()
         return Answer(202, b'{}')
@@ -144,10 +146,15 @@
         known = await self._recovery.results_of_former_owners(request)
         if len(known) == len(request.tasks):
             return [known[number] for number in range(len(known))]
-        self._admit(request, resumed=bool(known))
+        with _known_to_have_run(resumed=bool(known)):
+            self._admit(request)
         sequence = next(self._sequences)
-        await self._make_durable(request, sequence)
+        with _known_to_have_run(resumed=bool(known)):
+            await self._make_durable(request, sequence)
         record.journalled = True
+        if record.cancelled:
+            ran = RunState.RAN if known else RunState.NOT_RUN
+            raise RequestError(ErrorKind.CANCELLED, ran=ran)
         execution = Execution(
             request,
             self._incarnation,
@@ -162,25 +169,14 @@
         finally:
             self._acknowledgements.add(execution.agents, execution.sequence)
 
-    def _admit(self, request: CallerRequest, *, resumed: bool) -> None:
-        now = asyncio.get_running_loop().time()
-        try:
-            self._admission.check(
-                request.team,
-                request.service.name,
-                len(request.tasks),
-                request.deadline,
-                now,
-            )
-        except RequestError as error:
-            if resumed:
-                raise RequestError(
-                    error.kind,
-                    error.detail,
-                    ran=RunState.RAN,
-                    retry_after_s=error.retry_after_s,
-                ) from error
-            raise
+    def _admit(self, request: CallerRequest) -> None:
+        self._admission.check(
+            request.team,
+            request.service.name,
+            len(request.tasks),
+            request.deadline,
+            asyncio.get_running_loop().time(),
+        )
 
     async def _make_durable(self, request: CallerRequest, sequence: int) -> None:
         entry = JournalEntry(
@@ -205,3 +201,19 @@
             if isinstance(error, RequestError):
                 raise
             raise RequestError(ErrorKind.PLATFORM_UNAVAILABLE) from error
+
+
+@contextmanager
+def _known_to_have_run(*, resumed: bool) -> Iterator[None]:
+    """Answer that the work ran, when a former owner has run a part of it."""
+    try:
+        yield
+    except RequestError as error:
+        if not resumed:
+            raise
+        raise RequestError(
+            error.kind,
+            error.detail,
+            ran=RunState.RAN,
+            retry_after_s=error.retry_after_s,
+        ) from error
