Borrow slots that other entries leave free

Each Outcome now says how many slots others use; an entry without a usable credit sends to the agent that just reported free slots. What meets a full target waits at the agent, a credited dispatch always, borrowed ones up to two. The gate stays the only one to decide: a waiting dispatch is asked anew and has not started.

Demands are cut to 0.1% of bound tasks, since borrowing replaces them.

--- a/libs/endivetally-agent/src/endivetally_agent/gate.py
+++ b/libs/endivetally-agent/src/endivetally_agent/gate.py
@@ -135,6 +135,13 @@
         """Refuse new work for good."""
         self._draining = True
 
+    def lacks_slot(self, dispatch: Dispatch, memory_mb: float = 0) -> bool:
+        """Whether a dispatch is refused now only because all slots are busy."""
+        name = dispatch.name
+        if self._records.expired(name.owner, name.sequence) or self._seen(name):
+            return False
+        return self._reason_against(dispatch, memory_mb) is Refusal.FULL
+
     def try_start(self, dispatch: Dispatch, memory_mb: float = 0) -> Decision:
         """Decide on a dispatch and record the decision.
 
--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -1,7 +1,8 @@
 """Ledger of start credits: how the entries share the slots of one target.
 
-The ledger keeps ``running + unused credits <= slots``. It decides only; the
-caller sends the orders that it returns.
+The ledger keeps ``running + unused credits <= slots``, but for tasks that borrow
+a slot for which another entry holds an unused credit. It decides only; the caller
+sends the orders that it returns.
 """
 
 from dataclasses import dataclass
@@ -26,7 +27,8 @@
     """State of one linked entry.
 
     :param credits: granted and not yet used or given back.
-    :param running: its tasks at the target.
+    :param running: its tasks that hold a slot by a credit.
+    :param borrowed: its other tasks at the target.
     :param waiting: tasks that wait there, as it said last, less later grants.
     :param revoking: credits that it was asked to give back.
     :param void: credits that the ledger took without waiting for an answer.
@@ -35,6 +37,7 @@
 
     credits: int = 0
     running: int = 0
+    borrowed: int = 0
     waiting: int = 0
     revoking: int = 0
     void: int = 0
@@ -57,6 +60,7 @@
 
     slots: int = 0
     running: int = 0
+    borrowed: int = 0
     _holdings: dict[str, Holding] = field(default_factory=dict)
 
     @property
@@ -67,12 +71,18 @@
     @property
     def free(self) -> int:
         """Slots that are neither running nor granted."""
-        return max(self.slots - self.running - self.unused_credits, 0)
+        held = self.running - self.borrowed + self.unused_credits
+        return max(self.slots - held, 0)
 
     def credits_of(self, entry: str) -> int:
         """Return the unused credits of an entry."""
         return self._holdings[entry].credits if entry in self._holdings else 0
 
+    def others(self, entry: str) -> int:
+        """Return the tasks of other entries."""
+        holding = self._holdings.get(entry, Holding())
+        return max(self.running - holding.running - holding.borrowed, 0)
+
     def resize(self, slots: int) -> list[CreditOrder]:
         """Set the number of slots; closing (0) voids all credits."""
         if slots == self.slots:
@@ -95,12 +105,18 @@
         self._holdings.pop(entry, None)
         return self._share_free()
 
-    def start(self, entry: str, waiting: int) -> list[CreditOrder]:
-        """Count a started task; the caller has checked ``running < slots``.
+    def start(
+        self, entry: str, waiting: int, *, borrowed: bool = False
+    ) -> list[CreditOrder]:
+        """Count a task that starts, or waits here to start.
 
         :param waiting: tasks that still wait at the sender.
+        :param borrowed: it uses no credit.
         """
         orders: list[CreditOrder] = []
+        if borrowed:
+            self._borrow(entry, 1)
+            return orders
         if not self._use_credit(entry, waiting) and self.free == 0:
             orders = self._take_one()
         self.running += 1
@@ -117,12 +133,15 @@
             return self._pass_on(entry)
         return ''
 
-    def finish(self, entry: str) -> str:
+    def finish(self, entry: str, *, borrowed: bool = False) -> str:
         """Count the end of a task.
 
         :param entry: the entry that dispatched it.
         :return: the entry that gets the slot as a credit, or ''.
         """
+        if borrowed:
+            self._borrow(entry, -1)
+            return ''
         self.running -= 1
         holding = self._holdings.get(entry, Holding())
         holding.running = max(holding.running - 1, 0)
@@ -166,6 +185,12 @@
         holding.overdue = False
         return self._share_free()
 
+    def _borrow(self, entry: str, count: int) -> None:
+        self.running += count
+        self.borrowed += count
+        holding = self._holdings.get(entry, Holding())
+        holding.borrowed = max(holding.borrowed + count, 0)
+
     def _fair_share(self) -> int:
         return -(-self.slots // len(self._holdings))
 
--- a/libs/endivetally-agent/src/endivetally_agent/tasks.py
+++ b/libs/endivetally-agent/src/endivetally_agent/tasks.py
@@ -28,6 +28,7 @@
 from endivetally_agent.slots import CreditOrder
 from endivetally_agent.slots import SlotLedger
 from endivetally_agent.usage import UsageEstimate
+from endivetally_agent.waiting import WaitingStarts
 
 IDEMPOTENT: Final = 'idempotent'
 
@@ -54,6 +55,7 @@
         self._links = links
         self._counters = counters
         self._told = GateState.CLOSED
+        self._waiting = WaitingStarts()
         self._jobs: set[asyncio.Task[None]] = set()
 
     @property
@@ -73,6 +75,7 @@
             self._told = state
             self._links.broadcast(self._describe())
         self.send_orders(self.ledger.resize(self._gate.slots))
+        self._decide_waiting()
 
     def send_orders(self, orders: Iterable[CreditOrder]) -> None:
         """Send credits and revocations."""
@@ -85,13 +88,20 @@
                 self._links.post(order.entry, Revoke(order.revoke))
 
     def dispatch(self, entry: str, dispatch: Dispatch) -> None:
-        """Start a task or refuse it.
+        """Start a task, refuse it, or let it wait for the next free slot.
 
         :param entry: the entry at the other end of the link.
         """
         self.refresh()
+        if dispatch.name in self._waiting:
+            return
+        if self._may_wait(entry, dispatch):
+            self._claim(entry, dispatch)
+            self._waiting.add(entry, dispatch)
+            return
         decision = self._gate.try_start(dispatch, self.usage.memory_mb)
         if decision.verdict is Verdict.STARTED:
+            self._claim(entry, dispatch)
             self._start(entry, dispatch)
         elif decision.reason is None:
             self._answer_repeated(entry, dispatch.name, decision)
@@ -105,15 +115,18 @@
             name = self._gate.cancel(cancel.owner, cancel.sequence, number)
             if name is not None:
                 self._spawn(self._runner.cancel(name))
+        self._decide_waiting()
 
     def fence(self, owner: str) -> None:
         """Refuse an incarnation for ever and take its credits back."""
         self._gate.fence(owner)
+        self._decide_waiting()
         self.send_orders(self.ledger.detach(owner))
 
     def recall(self, entry: str, recall: Recall) -> None:
         """Report what a fenced incarnation's request did here."""
         outcomes = self._gate.recall(recall.owner, recall.sequence, entry)
+        self._decide_waiting()
         self.send_orders(self.ledger.detach(recall.owner))
         self._links.post(entry, Recalled(recall.recall_id, outcomes))
 
@@ -141,11 +154,39 @@
         self._jobs.add(task)
         task.add_done_callback(self._jobs.discard)
 
+    def _may_wait(self, entry: str, dispatch: Dispatch) -> bool:
+        if not self._gate.lacks_slot(dispatch, self.usage.memory_mb):
+            return False
+        if dispatch.borrowed:
+            return self._waiting.takes_borrowed
+        return self.ledger.credits_of(entry) > 0
+
+    def _claim(self, entry: str, dispatch: Dispatch) -> None:
+        orders = self.ledger.start(entry, dispatch.waiting, borrowed=dispatch.borrowed)
+        self.send_orders(orders)
+
     def _start(self, entry: str, dispatch: Dispatch) -> None:
         self._counters.starts.increment()
-        self.send_orders(self.ledger.start(entry, dispatch.waiting))
         self._spawn(self._run(entry, dispatch))
 
+    def _decide_waiting(self) -> None:
+        # The gate decides on each as if it had come just now.
+        for start in self._waiting:
+            dispatch = start.dispatch
+            memory_mb = self.usage.memory_mb
+            if self._gate.lacks_slot(dispatch, memory_mb):
+                continue
+            self._waiting.remove(dispatch.name)
+            decision = self._gate.try_start(dispatch, memory_mb)
+            if decision.verdict is Verdict.STARTED:
+                self._start(start.entry, dispatch)
+                continue
+            receiver = self.ledger.finish(start.entry, borrowed=dispatch.borrowed)
+            if decision.reason is not None:
+                self._counters.refusals.increment(decision.reason.value)
+                refused = Outcome(dispatch.name, 'refused', decision.reason.value)
+                self._report(start.entry, refused, receiver)
+
     async def _run(self, entry: str, dispatch: Dispatch) -> None:
         outcome = await self._runner.run(dispatch)
         linked = dispatch.name.owner in self._links
@@ -156,24 +197,30 @@
             self.refresh()
         else:
             self.usage.observe_run(outcome.run_ms)
-        receiver = self.ledger.finish(entry)
+        receiver = self.ledger.finish(entry, borrowed=dispatch.borrowed)
+        self._decide_waiting()
         self._report(dispatch.name.owner, outcome, receiver)
         recaller = self._gate.recaller(dispatch.name)
         if recaller:
             self._links.post(recaller, outcome)
 
     def _report(self, entry: str, outcome: Outcome, receiver: str) -> None:
-        if receiver and receiver == entry:
-            outcome = msgspec.structs.replace(outcome, credits=1)
-        elif receiver:
+        if receiver and receiver != entry:
             self.send_orders([CreditOrder(receiver, grant=1)])
+        outcome = msgspec.structs.replace(
+            outcome,
+            credits=int(bool(receiver) and receiver == entry),
+            others=self.ledger.others(entry),
+        )
         self._links.post(entry, outcome)
 
     def _refuse(self, entry: str, dispatch: Dispatch, reason: Refusal) -> None:
         self._counters.refusals.increment(reason.value)
-        receiver = self.ledger.refuse(
-            entry, dispatch.waiting, withhold=reason is Refusal.MEMORY
-        )
+        receiver = ''
+        if not dispatch.borrowed:
+            receiver = self.ledger.refuse(
+                entry, dispatch.waiting, withhold=reason is Refusal.MEMORY
+            )
         refused = Outcome(dispatch.name, 'refused', reason.value)
         self._report(entry, refused, receiver)
 
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -49,6 +49,8 @@
     :param deadline_ms: milliseconds left at sending.
     :param waiting: tasks of the pool that wait at the sender for a slot.
     :param pool: pool of targets; empty when it is named as the service.
+    :param priority: lower numbers start first where dispatches wait.
+    :param borrowed: it uses no credit, but a slot that others leave free.
     """
 
     name: TaskName
@@ -58,6 +60,8 @@
     deadline_ms: Count
     waiting: Count = 0
     pool: str = ''
+    priority: Count = 0
+    borrowed: bool = False
 
     @property
     def target_pool(self) -> str:
@@ -73,6 +77,7 @@
     :param reason: code of a refusal or a failure.
     :param run_ms: run time at the target.
     :param credits: start credits granted back to the entry with this message.
+    :param others: slots that the tasks of other entries use or wait for.
     """
 
     name: TaskName
@@ -81,6 +86,7 @@
     body: bytes = b''
     run_ms: float = 0
     credits: Count = 0
+    others: Count | None = None
 
 
 class Cancel(Message, frozen=True, tag='cancel'):
--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -41,6 +41,7 @@
     payload: bytes
     listener: BindingListener
     agent: str = ''
+    borrowed: bool = False
 
 
 class Dispatcher:
@@ -105,6 +106,9 @@
     def outcome_received(self, agent: str, outcome: Outcome) -> None:
         """Route an outcome to the listener of its binding."""
         now = _now()
+        if outcome.others is not None:
+            self._scheduler.others_reported(agent, outcome.others, now)
+            self._wakeup.set()
         if outcome.credits:
             self._scheduler.credits_granted(agent, outcome.credits, now)
             self._wakeup.set()
@@ -176,6 +180,7 @@
         for binding in self._scheduler.bind(now):
             submission = self._submissions[binding.task.name]
             submission.agent = binding.agent
+            submission.borrowed = binding.borrowed
             self._bound_to.setdefault(binding.agent, {})[binding.task.name] = None
             self._post(submission)
         for demand in self._scheduler.demands(now):
@@ -199,6 +204,8 @@
                 left_ms,
                 self._scheduler.waiting(task.target_pool),
                 task.pool,
+                task.priority,
+                submission.borrowed,
             ),
         )
 
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/credits.py
@@ -114,6 +114,14 @@
         self._pool(agent.identity.service).add_credits(agent, -given_back)
         return given_back
 
+    def others_reported(self, incarnation: str, others: int, now: float) -> None:
+        """Take in how many slots the tasks of other entries use at an agent."""
+        agent = self._agents.get(incarnation)
+        if agent is not None:
+            agent.others = others
+            agent.reported_at = now
+            self._pool(agent.identity.service).changed(agent)
+
     def task_ended(
         self,
         incarnation: str,
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/demand.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/demand.py
@@ -22,8 +22,8 @@
 
     patience_s: float = 0.003
     patience_share: float = 0.05
-    budget_share: float = 0.006
-    burst: float = 8.0
+    budget_share: float = 0.001
+    burst: float = 2.0
     resend_s: float = 0.05
     spent_resend_s: float = 4.0
     stalled_resend_s: float = 0.25
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/interface.py
@@ -44,10 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Binding:
-    """A task and the incarnation of the agent that it goes to."""
+    """A task and the incarnation of the agent that it goes to.
+
+    :param borrowed: it uses no credit, but a slot that others leave free.
+    """
 
     task: PendingTask
     agent: str
+    borrowed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +127,10 @@
     def credits_revoked(self, incarnation: str, count: int) -> int:
         """Give up unused credits; return how many."""
 
+    @abstractmethod
+    def others_reported(self, incarnation: str, others: int, now: float) -> None:
+        """Take in how many slots the tasks of other entries use at an agent."""
+
     @abstractmethod
     def task_ended(
         self,
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/naive.py
@@ -73,6 +73,9 @@
         """Give back nothing: no credit is kept."""
         return 0
 
+    def others_reported(self, incarnation: str, others: int, now: float) -> None:
+        """Do nothing: load is ignored."""
+
     def task_ended(
         self,
         incarnation: str,
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -16,6 +16,7 @@
 from endivetally_policy.scheduling.ranking import AgentRanking
 from endivetally_policy.scheduling.ranking import TrackedAgent
 from endivetally_policy.scheduling.reserve import PriorityReserve
+from endivetally_policy.scheduling.spare import SpareSlots
 
 if TYPE_CHECKING:
     from endivetally_policy.estimates import RunTimeEstimate
@@ -49,6 +50,7 @@
         self._agents: dict[str, TrackedAgent] = {}
         self._all = AgentRanking()
         self._admitted = AgentRanking()
+        self._spare = SpareSlots()
         self._racks: Counter[str] = Counter()
         self._outstanding = 0
         self._credits = 0
@@ -116,7 +118,11 @@
         """Rank an agent afresh after a change."""
         agent.rank_version += 1
         standing = self._health.standing(agent.incarnation)
-        if agent.credits == 0 or not agent.is_open or standing is Standing.EJECTED:
+        if not agent.is_open or standing is Standing.EJECTED:
+            return
+        if standing is Standing.HEALTHY:
+            self._spare.update(agent)
+        if agent.credits == 0:
             return
         rack_outstanding = self._racks[agent.identity.rack]
         self._all.update(agent, standing, rack_outstanding)
@@ -149,14 +155,14 @@
         passed: list[PendingTask] = []
         task = self.queue.peek()
         while task is not None and len(passed) < _PASSED_TASKS:
-            agent = self._pick(task, now)
-            if agent is None and not task.avoid:
+            binding = self._bind_one(task, now)
+            if binding is None and not task.avoid:
                 break
             self.queue.pop()
-            if agent is None:
+            if binding is None:
                 passed.append(task)
             else:
-                bindings.append(self._assign(task, agent))
+                bindings.append(binding)
             task = self.queue.peek()
         for held in reversed(passed):
             self.queue.restore(held)
@@ -187,6 +193,15 @@
             self._outstanding,
         )
 
+    def _bind_one(self, task: 'PendingTask', now: float) -> Binding | None:
+        agent = self._pick(task, now)
+        if agent is not None:
+            return self._assign(task, agent, borrowed=False)
+        agent = self._spare.best(task.avoid, now, admitted=task.exclusive)
+        if agent is not None:
+            return self._assign(task, agent, borrowed=True)
+        return None
+
     def _is_reserved(self, task: 'PendingTask', now: float) -> bool:
         held = self._credits + self._outstanding
         return self._credits <= self._reserve.size(task.priority, held, now)
@@ -222,10 +237,16 @@
             if agent.is_open and (agent.admitted or not task.exclusive)
         )
 
-    def _assign(self, task: 'PendingTask', agent: TrackedAgent) -> Binding:
+    def _assign(
+        self,
+        task: 'PendingTask',
+        agent: TrackedAgent,
+        *,
+        borrowed: bool,
+    ) -> Binding:
         self._add_outstanding(agent, 1)
-        self.add_credits(agent, -1)
-        return Binding(task, agent.incarnation)
+        self.add_credits(agent, 0 if borrowed else -1)
+        return Binding(task, agent.incarnation, borrowed)
 
     def _add_outstanding(self, agent: TrackedAgent, count: int) -> None:
         agent.outstanding += count
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/ranking.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/ranking.py
@@ -10,7 +10,7 @@
 
     from endivetally_core.joining import AgentIdentity
 
-_Rank = tuple[int, bool, int, int, int, float]
+_Rank = tuple[int, bool, bool, int, int, int, float]
 
 
 class TrackedAgent:
@@ -25,9 +25,11 @@
         'credits',
         'identity',
         'jitter',
+        'others',
         'outstanding',
         'rank_version',
         'remote',
+        'reported_at',
         'running',
         'state',
     )
@@ -41,6 +43,8 @@
         self.credits = 0
         self.outstanding = 0
         self.admitted = False
+        self.others = 0
+        self.reported_at = float('-inf')
         self.rank_version = 0
 
     @property
@@ -48,6 +52,11 @@
         """Incarnation of the agent."""
         return self.identity.incarnation
 
+    @property
+    def free(self) -> int:
+        """Slots that no task used at the last report, less own tasks since."""
+        return self.identity.slots - self.others - self.outstanding
+
     @property
     def is_open(self) -> bool:
         """Whether the agent takes new work."""
@@ -73,6 +82,7 @@
         """Put an agent in its place after its `rank_version` was raised."""
         rank = (
             int(standing),
+            agent.free <= 0,
             agent.remote,
             -agent.credits,
             agent.outstanding,
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -116,6 +116,82 @@
         assert target.stats.max_concurrent == 8
 
 
+@asynccontextmanager
+async def _busy(sequences=8, run_ms=60_000):
+    """Yield a deployment with all slots busy."""
+    async with _deployment() as (entry, agent, target):
+        for sequence in range(sequences):
+            entry.dispatch(sequence, {'run_ms': run_ms}, deadline_ms=60_000)
+        while target.stats.running < sequences:
+            await asyncio.sleep(0.01)
+        yield entry, agent, target
+
+
+async def _refusal(entry, name):
+    outcome = await entry.wait_for(Outcome, _outcome_of(name))
+    return outcome.status, outcome.reason
+
+
+class TestWaiting:
+    async def test_a_borrowed_dispatch_starts_when_a_slot_is_free(self):
+        async with _busy(run_ms=200) as (entry, _agent, target):
+            low = entry.dispatch(20, {}, borrowed=True, priority=1)
+            first = entry.dispatch(21, {}, borrowed=True)
+            ended = [await entry.wait_for(Outcome) for _number in range(10)]
+        assert [outcome.status for outcome in ended] == ['done'] * 10
+        assert {low, first} <= {outcome.name for outcome in ended}
+        assert target.stats.max_concurrent == 8
+
+    async def test_few_wait(self):
+        async with _busy() as (entry, _agent, target):
+            for sequence in (20, 21):
+                entry.dispatch(sequence, {}, borrowed=True)
+            refused = entry.dispatch(22, {}, borrowed=True)
+            assert await _refusal(entry, refused) == ('refused', 'full')
+            assert target.stats.starts == 8
+
+    @pytest.mark.parametrize('copies', [1, 3])
+    async def test_a_cancelled_one_never_starts(self, copies):
+        async with _busy() as (entry, _agent, target):
+            for _copy in range(copies):
+                name = entry.dispatch(20, {}, borrowed=True)
+            entry.link.post(Cancel(name.owner, 20, [0]))
+            assert await _refusal(entry, name) == ('refused', 'cancelled')
+            entry.dispatch(20, {}, borrowed=True)
+            assert await _refusal(entry, name) == ('refused', 'cancelled')
+            assert target.stats.starts == 8
+
+    async def test_a_fence_refuses_it(self):
+        async with _busy() as (entry, _agent, target):
+            name = entry.dispatch(20, {}, borrowed=True)
+            entry.link.post(Fence(name.owner))
+            assert await _refusal(entry, name) == ('refused', 'fenced')
+            assert target.stats.starts == 8
+
+    async def test_a_recall_refuses_it_and_reports_what_started(self):
+        async with _busy() as (entry, _agent, _target):
+            name = entry.dispatch(20, {}, borrowed=True)
+            entry.link.post(Recall(1, name.owner, 20))
+            recalled = await entry.wait_for(Recalled)
+            assert recalled.outcomes == []
+            assert await _refusal(entry, name) == ('refused', 'fenced')
+
+    async def test_a_leaving_agent_refuses_it_at_once(self):
+        async with _busy() as (entry, agent, _target):
+            name = entry.dispatch(20, {}, borrowed=True)
+            while name not in agent._tasks._waiting:
+                await asyncio.sleep(0.01)
+            agent._gate.drain()
+            agent._tasks.refresh()
+            assert await _refusal(entry, name) == ('refused', 'leaving')
+
+    async def test_one_past_its_deadline_is_refused(self):
+        async with _busy() as (entry, _agent, target):
+            name = entry.dispatch(20, {}, borrowed=True, deadline_ms=20)
+            assert await _refusal(entry, name) == ('refused', 'deadline')
+            assert target.stats.starts == 8
+
+
 class TestMemory:
     async def test_a_task_that_does_not_fit_is_refused_without_a_credit(self):
         async with _deployment() as (entry, agent, _target):
--- a/tests/agent/test_slots.py
+++ b/tests/agent/test_slots.py
@@ -100,6 +100,17 @@
         assert ledger.unused_credits == 0
 
 
+class TestBorrowing:
+    def test_no_credit_is_used_taken_or_given(self):
+        ledger = _ledger(2, ENTRIES[:2])
+        assert ledger.start('entry-1', 0, borrowed=True) == []
+        assert ledger.unused_credits == 2
+        assert ledger.others('entry-1') == 0
+        assert ledger.others('entry-2') == 1
+        assert not ledger.finish('entry-1', borrowed=True)
+        assert ledger.unused_credits == 2
+
+
 class Model:
     """Applies any sequence of events to a ledger and checks its invariant."""
 
@@ -113,8 +124,10 @@
         ledger = self.ledger
         assert ledger.running == len(self.running)
         assert ledger.unused_credits >= 0
-        if ledger.slots and ledger.running <= ledger.slots:
-            assert ledger.running + ledger.unused_credits <= ledger.slots
+        assert ledger.borrowed == sum(borrowed for _entry, borrowed in self.running)
+        held = ledger.running - ledger.borrowed
+        if ledger.slots and held <= ledger.slots:
+            assert held + ledger.unused_credits <= ledger.slots
 
     def _attach(self, entry, _number):
         if entry not in self.linked:
@@ -129,13 +142,19 @@
         self.ledger.resize(number)
 
     def _start(self, entry, number):
-        if self.ledger.running < self.ledger.slots:
-            self.ledger.start(entry, number)
-            self.running.append(entry)
+        ledger = self.ledger
+        if ledger.running < ledger.slots or ledger.credits_of(entry):
+            ledger.start(entry, number)
+            self.running.append((entry, False))
+
+    def _borrow(self, entry, number):
+        self.ledger.start(entry, number, borrowed=True)
+        self.running.append((entry, True))
 
     def _finish(self, _entry, number):
         if self.running:
-            self.ledger.finish(self.running.pop(number % len(self.running)))
+            entry, borrowed = self.running.pop(number % len(self.running))
+            self.ledger.finish(entry, borrowed=borrowed)
 
     def _refuse(self, entry, number):
         self.ledger.refuse(entry, number)
@@ -157,6 +176,7 @@
             'detach',
             'resize',
             'start',
+            'borrow',
             'finish',
             'refuse',
             'demand',
--- /dev/null
+++ b/tests/policy/test_spare.py
@@ -0,0 +1,52 @@
+"""Tests of borrowing slots that other entries leave free."""
+
+import pytest
+from endivetally_policy.scheduling import Binding
+from endivetally_policy.scheduling import CreditScheduler
+from policy.builders import join
+from policy.builders import task
+
+
+def _scheduler(others, agents=1, granted=0):
+    scheduler = CreditScheduler('dc1')
+    join(scheduler, agents, granted=granted)
+    for number in range(agents):
+        scheduler.others_reported(f'agent-{number}.0', others, 0.0)
+    return scheduler
+
+
+class TestBorrowing:
+    @pytest.mark.parametrize(
+        ('others', 'asked_at', 'bound'),
+        [(8, 0, 0), (7, 0.005, 1), (7, 0.05, 0), (4, 0.05, 3), (4, 1, 0)],
+    )
+    def test_only_what_a_fresh_report_calls_free(self, others, asked_at, bound):
+        scheduler = _scheduler(others)
+        for number in range(8):
+            scheduler.submit(task(number), asked_at)
+        bindings = scheduler.bind(asked_at)
+        assert [binding.borrowed for binding in bindings] == [True] * bound
+
+    def test_own_credits_first(self):
+        scheduler = _scheduler(0, granted=1)
+        first, second = task(0), task(1)
+        scheduler.submit(first, 0)
+        scheduler.submit(second, 0)
+        assert scheduler.bind(0) == [
+            Binding(first, 'agent-0.0'),
+            Binding(second, 'agent-0.0', borrowed=True),
+        ]
+
+    @pytest.mark.parametrize(
+        'fields', [{'avoid': frozenset({'agent-0.0'})}, {'exclusive': True}]
+    )
+    def test_never_where_the_task_may_not_go(self, fields):
+        scheduler = _scheduler(0)
+        scheduler.submit(task(0, **fields), 0)
+        assert scheduler.bind(0) == []
+
+    def test_never_at_an_agent_that_leaves(self):
+        scheduler = _scheduler(0)
+        scheduler.agent_changed('agent-0.0', 'leaving', 0, 0)
+        scheduler.submit(task(0), 0)
+        assert scheduler.bind(0) == []
