--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/demand.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/demand.py
@@ -23,9 +23,9 @@
     patience_s: float = 0.003
     patience_share: float = 0.05
     budget_share: float = 0.001
-    burst: float = 2.0
+    burst: float = 1.0
     resend_s: float = 0.05
-    spent_resend_s: float = 4.0
+    spent_resend_s: float = 60.0
     stalled_resend_s: float = 0.25
     fan_out: int = 2
 
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -197,7 +197,8 @@
         agent = self._pick(task, now)
         if agent is not None:
             return self._assign(task, agent, borrowed=False)
-        agent = self._spare.best(task.avoid, now, admitted=task.exclusive)
+        least = 1 if self._reserve.is_first(task.priority, now) else 2
+        agent = self._spare.best(task, now, least=least)
         if agent is not None:
             return self._assign(task, agent, borrowed=True)
         return None
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/reserve.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/reserve.py
@@ -35,6 +35,10 @@
         >>> reserve.size(0, held=30, now=1)
         0
         """
-        if priority <= self._first or now > self._seen_at + REMEMBERED_S:
+        if self.is_first(priority, now):
             return 0
         return int(held * RESERVED_SHARE)
+
+    def is_first(self, priority: int, now: float) -> bool:
+        """Whether no task of a higher priority came lately."""
+        return priority <= self._first or now > self._seen_at + REMEMBERED_S
--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/spare.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/spare.py
@@ -5,8 +5,7 @@
 from typing import Final
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
+    from endivetally_policy.scheduling.interface import PendingTask
     from endivetally_policy.scheduling.ranking import TrackedAgent
 
 FIRST_SLOT_S: Final = 0.01
@@ -31,19 +30,15 @@
             heapq.heappush(self._heap, entry)
 
     def best(
-        self,
-        avoid: 'Collection[str]',
-        now: float,
-        *,
-        admitted: bool,
+        self, task: 'PendingTask', now: float, *, least: int
     ) -> 'TrackedAgent | None':
-        """Return the best agent that likely has a free slot.
+        """Return the best agent that likely has free slots for a task.
 
-        :param admitted: only agents that are durable in the journal.
+        :param least: slots that must be free.
         """
         skipped = []
         agent = self._first(now)
-        while agent and not _is_usable(agent, avoid, admitted=admitted):
+        while agent and not _is_usable(agent, task, now, least):
             skipped.append(heapq.heappop(self._heap))
             agent = self._first(now)
         for entry in skipped:
@@ -53,18 +48,22 @@
     def _first(self, now: float) -> 'TrackedAgent | None':
         while self._heap:
             _, _, version, agent = self._heap[0]
-            if version == agent.rank_version and _is_fresh(agent, now):
+            if version == agent.rank_version and _is_fresh(agent, now, 1):
                 return agent
             heapq.heappop(self._heap)
         return None
 
 
 def _is_usable(
-    agent: 'TrackedAgent', avoid: 'Collection[str]', *, admitted: bool
+    agent: 'TrackedAgent', task: 'PendingTask', now: float, least: int
 ) -> bool:
-    return agent.incarnation not in avoid and (agent.admitted or not admitted)
+    allowed = agent.admitted or not task.exclusive
+    avoided = agent.incarnation in task.avoid
+    return allowed and not avoided and _is_fresh(agent, now, least)
 
 
-def _is_fresh(agent: 'TrackedAgent', now: float) -> bool:
-    believed_s = FIRST_SLOT_S + (agent.free - 1) * FURTHER_SLOT_S
+def _is_fresh(agent: 'TrackedAgent', now: float, least: int) -> bool:
+    if agent.free < least:
+        return False
+    believed_s = FIRST_SLOT_S + (agent.free - least) * FURTHER_SLOT_S
     return now <= agent.reported_at + believed_s
--- a/tests/policy/test_spare.py
+++ b/tests/policy/test_spare.py
@@ -27,6 +27,15 @@
         bindings = scheduler.bind(asked_at)
         assert [binding.borrowed for binding in bindings] == [True] * bound
 
+    @pytest.mark.parametrize(('others', 'bound'), [(7, 0), (6, 1), (4, 3)])
+    def test_lower_priorities_leave_one_slot_of_an_agent(self, others, bound):
+        scheduler = _scheduler(others)
+        scheduler.submit(task(20, priority=0), 0)
+        scheduler.withdraw('entry-1.0', 0)
+        for number in range(8):
+            scheduler.submit(task(number, priority=1), 0)
+        assert len(scheduler.bind(0)) == bound
+
     def test_own_credits_first(self):
         scheduler = _scheduler(0, granted=1)
         first, second = task(0), task(1)
