--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -38,6 +38,8 @@
 ABSENCE_S = 1.5
 SUCCESSOR_STEP_S = 1
 ISOLATED_DELAY_S = 15
+LONELY_DELAY_S = 5
+DOUBT_S = 1
 RECENT_S = 1.5
 
 
@@ -157,6 +159,11 @@
         now = _now()
         return [known for known in self._known.values() if _is_suspect(known, now)]
 
+    def any_doubtful(self) -> bool:
+        """Return whether an entry is suspected, or soon will be."""
+        soon = _now() + DOUBT_S
+        return any(_is_suspect(known, soon) for known in self._known.values())
+
     def cut_off(self, known: KnownEntry) -> None:
         """Close the links to a suspect, so that nothing waits for it."""
         self._close(known)
@@ -298,15 +305,16 @@
         ranked = rank_by_rendezvous(dead.identity.incarnation, live)
         turn = ranked.index(self._identity.incarnation)
         # Those on the other side of a cut go first: they reach the targets.
-        isolated_s = ISOLATED_DELAY_S if self._seems_cut_off() else 0
-        return turn * SUCCESSOR_STEP_S + isolated_s
+        return turn * SUCCESSOR_STEP_S + self._cut_off_delay_s()
 
-    def _seems_cut_off(self) -> bool:
+    def _cut_off_delay_s(self) -> float:
+        if self._is_isolated():
+            return ISOLATED_DELAY_S
         recent = _now() - RECENT_S
         known = self._links.entries
         quiet = sum(entry.heard_at < recent for entry in known)
         lost_most = len(known) > 1 and quiet * 2 > len(known)
-        return lost_most or self._is_isolated()
+        return LONELY_DELAY_S if lost_most else 0
 
     async def _succeed(self, dead: KnownEntry) -> None:
         try:
