Fail an idempotent task at once that failed at every target

Cause: the gate refuses a task for ever that has started there, also a later attempt of an idempotent one. When it had failed at every open target, the scheduler came back to the first, was refused as duplicate and tried again until the deadline: with two agents 18 refused dispatches in 10 s and the answer overloaded in place of task_failed. The first such refusal now ends the request with the error of its starts.

--- a/libs/endivetally-entry/src/endivetally_entry/executions.py
+++ b/libs/endivetally-entry/src/endivetally_entry/executions.py
@@ -22,6 +22,7 @@
     from endivetally_entry.dispatching import Dispatcher
 
 FENCED_REASON = 'fenced'
+STARTED_BEFORE_REASON = 'duplicate'
 
 
 class OwnershipMoved(EndivetallyError):
@@ -145,6 +146,11 @@
         loop = asyncio.get_running_loop()
         number = task.name.number
         history = self._histories.setdefault(number, _BindingHistory())
+        if history.starts and outcome.reason == STARTED_BEFORE_REASON:
+            # The scheduler comes back to an agent only when none is left.
+            kind = ErrorKind.TASK_FAILED if self._some_ran else ErrorKind.OUTCOME_UNKNOWN
+            self._give_up(kind, 'it was tried at every target')
+            return
         history.add(outcome.status)
         ended = EndedBinding(
             status=outcome.status,
--- a/tests/entry/test_dispatching.py
+++ b/tests/entry/test_dispatching.py
@@ -3,13 +3,13 @@
 import asyncio
 
 import pytest
+from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import RunState
 from endivetally_core.messages import Cancel
 from endivetally_core.messages import Outcome
 from endivetally_entry.executions import Execution
 from endivetally_policy.retries import RetryPolicy
-
 from entry.parts import AGENT
 from entry.parts import Dispatching
 from entry.parts import request
@@ -69,3 +69,22 @@
         await _turns(5)
         assert caught.value.ran is RunState.NOT_RUN
         assert parts.dispatches == []
+
+
+class TestRetry:
+    async def test_a_task_that_failed_everywhere_fails_at_once(self):
+        parts = Dispatching()
+        execution = Execution(
+            request(kind='idempotent'), 'e.1', 1, parts.dispatcher, RetryPolicy()
+        )
+        run = asyncio.create_task(execution.run())
+        for outcome in (('failed', 'status_500'), ('refused', 'duplicate')):
+            parts.dispatcher.credits_granted(AGENT.incarnation, 1)
+            await _turns(10)
+            name = parts.dispatches[-1].name
+            parts.dispatcher.outcome_received(
+                AGENT.incarnation, Outcome(name, *outcome)
+            )
+        await _turns(10)
+        assert run.done()
+        assert run.exception().kind is ErrorKind.TASK_FAILED
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -9,7 +9,6 @@
 from endivetally_core.shaping import NoShaping
 from endivetally_entry.exchange import Exchange
 from endivetally_entry.exchange import MessageReceiver
-
 from entry.parts import KeptLink
 
 
@@ -29,7 +28,11 @@
 
 
 async def test_malformed_input_does_not_end_the_link():
-    exchange, link, receiver = Exchange(TextKeeper(), NoShaping()), KeptLink(), Receiver()
+    exchange, link, receiver = (
+        Exchange(TextKeeper(), NoShaping()),
+        KeptLink(),
+        Receiver(),
+    )
     link.frames = [
         MalformedMessage('no frame'),
         Frame(0, [Grant(13), Grant(1)]),
--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -12,7 +12,6 @@
 from endivetally_entry.keyed import KeyedRequests
 from endivetally_entry.ledger import KeyLedger
 from endivetally_policy.retries import RetryPolicy
-
 from entry.parts import Dispatching
 from entry.parts import request
 
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -15,7 +15,6 @@
 from endivetally_table.entries import EntryRegistry
 from endivetally_table.memory import MemoryTable
 from endivetally_table.shards import SHARD_COUNT
-
 from entry.parts import AGENT
 from entry.parts import Dispatching
 from entry.parts import identity
