Tell agents of ended entries only what the table has told

Cause: an entry named every former owner of a shard that it had no link to as fenced when an agent joined. A live entry that had released shards was fenced by its agents for ever when its links to other entries were cut for a moment; the requests through it then failed at once.

--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -79,6 +79,7 @@
         self.opened = asyncio.Event()
         self.stack = AsyncExitStack()
         self.shaper = RuleShaper()
+        self._ended: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self.identity = self._listen()
         self._wire_text()
@@ -125,10 +126,20 @@
         return self.entry_links.identities
 
     def fenced_entries(self) -> list[str]:
-        """Return incarnations known to have ended."""
-        former = self.directory.shard_map.former
-        live = {identity.incarnation for identity in self.known_identities()}
-        return [owner.incarnation for owner in former if owner.incarnation not in live]
+        """Return former owners that the table has told to have ended."""
+        return list(self._ended)
+
+    async def read_live(self) -> list[EntryIdentity]:
+        """Return the live entries, and note the former owners that are not.
+
+        :raises TableUnavailable: when the table does not answer.
+        """
+        # Owners register first: whoever lost shards before the read and is not
+        # in it has ended.
+        former = {owner.incarnation for owner in self.directory.shard_map.former}
+        live = await self.registry.live()
+        self._ended = former - {identity.incarnation for identity in live}
+        return live
 
     def has_targets(self) -> bool:
         """Return whether any target takes work from here."""
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -138,7 +138,7 @@
         _log.info('entry open', extra={'incarnation': self._entry.identity.incarnation})
 
     async def _connect_entries(self) -> None:
-        for identity in await self._entry.registry.live():
+        for identity in await self._entry.read_live():
             self._entry.entry_links.connect(identity)
 
     async def _refresh_forever(self) -> None:
@@ -155,7 +155,7 @@
         entry = self._entry
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
-        live = await entry.registry.live()
+        live = await entry.read_live()
         if entry.identity not in live:
             self._fenced()
             return
