Ask for credits at an agent that the waiting task may use

Cause: a retried task avoids the agent that failed it, but the entry asked the agent with the best rank for credits, which could be just that one. The other agent's credits lay idle at another entry and were never asked back: the request waited to its deadline and was answered overloaded. Found by the differential test without failures (lookup that fails, two agents, three entries), which answers task_failed now as the naive dispatcher does.

--- a/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
+++ b/libs/endivetally-policy/src/endivetally_policy/scheduling/pool.py
@@ -244,7 +244,9 @@
             and incarnation not in ejected
             and (agent.admitted or not exclusive)
         ]
-        return heapq.nsmallest(count, candidates, key=_demand_rank)
+        avoid = frozenset() if head is None else head.avoid
+        useful = [agent for agent in candidates if agent.incarnation not in avoid]
+        return heapq.nsmallest(count, useful or candidates, key=_demand_rank)
 
     def _view(self, agent: TrackedAgent) -> AgentView:
         standing = self._health.standing(agent.incarnation)
