--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -1,7 +1,8 @@
 """Ledger of start credits: how the entries share the slots of one target.
 
-The ledger keeps ``running + unused credits <= slots``. It decides only; the
-caller sends the orders that it returns.
+The ledger keeps ``running + unused credits <= slots``, but for tasks that borrow
+a slot for which another entry holds an unused credit. It decides only; the caller
+sends the orders that it returns.
 """
 
 from dataclasses import dataclass
@@ -26,6 +27,8 @@
     """State of one linked entry.
 
     :param credits: granted and not yet used or given back.
+    :param running: its tasks that hold a slot by a credit.
+    :param borrowed: its other tasks at the target.
     :param waiting: tasks that wait there, as it said last, less later grants.
     :param revoking: credits that it was asked to give back.
     :param void: credits that the ledger took without waiting for an answer.
@@ -33,11 +36,18 @@
     """
 
     credits: int = 0
+    running: int = 0
+    borrowed: int = 0
     waiting: int = 0
     revoking: int = 0
     void: int = 0
     overdue: bool = False
 
+    @property
+    def share(self) -> int:
+        """Slots that it uses or may use."""
+        return self.credits + self.running
+
     @property
     def idle(self) -> int:
         """Credits that can be asked back: nobody waits for a slot there."""
@@ -50,6 +60,7 @@
 
     slots: int = 0
     running: int = 0
+    borrowed: int = 0
     _holdings: dict[str, Holding] = field(default_factory=dict)
 
     @property
@@ -60,12 +71,27 @@
     @property
     def free(self) -> int:
         """Slots that are neither running nor granted."""
-        return max(self.slots - self.running - self.unused_credits, 0)
+        held = self.running - self.borrowed + self.unused_credits
+        return max(self.slots - held, 0)
+
+    @property
+    def holders_in_need(self) -> list[str]:
+        """Entries with credits that they do not use while their tasks wait."""
+        return [
+            entry
+            for entry, holding in self._holdings.items()
+            if holding.credits and holding.waiting
+        ]
 
     def credits_of(self, entry: str) -> int:
         """Return the unused credits of an entry."""
         return self._holdings[entry].credits if entry in self._holdings else 0
 
+    def others(self, entry: str) -> int:
+        """Return the tasks of other entries."""
+        holding = self._holdings.get(entry, Holding())
+        return max(self.running - holding.running - holding.borrowed, 0)
+
     def resize(self, slots: int) -> list[CreditOrder]:
         """Set the number of slots; closing (0) voids all credits."""
         if slots == self.slots:
@@ -88,15 +114,22 @@
         self._holdings.pop(entry, None)
         return self._share_free()
 
-    def start(self, entry: str, waiting: int) -> list[CreditOrder]:
-        """Count a started task; the caller has checked ``running < slots``.
+    def start(
+        self, entry: str, waiting: int, *, borrowed: bool = False
+    ) -> list[CreditOrder]:
+        """Count a task that starts, or waits here to start.
 
         :param waiting: tasks that still wait at the sender.
+        :param borrowed: it uses no credit.
         """
         orders: list[CreditOrder] = []
+        if borrowed:
+            self._borrow(entry, 1)
+            return orders
         if not self._use_credit(entry, waiting) and self.free == 0:
             orders = self._take_one()
         self.running += 1
+        self._holdings.get(entry, Holding()).running += 1
         return orders
 
     def refuse(self, entry: str, waiting: int, *, withhold: bool = False) -> str:
@@ -109,13 +142,18 @@
             return self._pass_on(entry)
         return ''
 
-    def finish(self, entry: str) -> str:
+    def finish(self, entry: str, *, borrowed: bool = False) -> str:
         """Count the end of a task.
 
         :param entry: the entry that dispatched it.
         :return: the entry that gets the slot as a credit, or ''.
         """
+        if borrowed:
+            self._borrow(entry, -1)
+            return ''
         self.running -= 1
+        holding = self._holdings.get(entry, Holding())
+        holding.running = max(holding.running - 1, 0)
         return self._pass_on(entry)
 
     def demand(self, entry: str, waiting: int) -> list[CreditOrder]:
@@ -156,6 +194,12 @@
         holding.overdue = False
         return self._share_free()
 
+    def _borrow(self, entry: str, count: int) -> None:
+        self.running += count
+        self.borrowed += count
+        holding = self._holdings.get(entry, Holding())
+        holding.borrowed = max(holding.borrowed + count, 0)
+
     def _fair_share(self) -> int:
         return -(-self.slots // len(self._holdings))
 
@@ -173,12 +217,22 @@
     def _pass_on(self, previous: str) -> str:
         if not self.free or not self._holdings:
             return ''
-        receiver = self._most_waiting()
-        if not self._holdings[receiver].waiting and previous in self._holdings:
-            receiver = previous
+        receiver = previous
+        if previous not in self._holdings:
+            receiver = self._most_waiting()
+        elif self._holdings[previous].share >= self._fair_share():
+            receiver = self._below_share() or previous
         self._grant(receiver)
         return receiver
 
+    def _below_share(self) -> str:
+        least = min(self._holdings, key=self._share_of)
+        even = self.slots // len(self._holdings)
+        return least if self._share_of(least) < even else ''
+
+    def _share_of(self, entry: str) -> int:
+        return self._holdings[entry].share
+
     def _grant(self, entry: str) -> None:
         holding = self._holdings[entry]
         holding.credits += 1
@@ -189,7 +243,7 @@
 
     def _precedence(self, entry: str) -> tuple[int, int]:
         holding = self._holdings[entry]
-        return -holding.waiting, holding.credits
+        return -holding.waiting, holding.share
 
     def _share_free(self) -> list[CreditOrder]:
         granted: dict[str, int] = {}
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from endivetally_core.errors import MalformedMessage
+from endivetally_core.wire import Message
+from endivetally_core.wire import Watch
 
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 MAX_MESSAGES_PER_FRAME: Final = 256
@@ -22,10 +24,6 @@
 Sequence = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True, tag_field='type'):
-    """Base of all messages; a frozen structure with one tag for each class."""
-
-
 class TaskName(msgspec.Struct, frozen=True, array_like=True):
     """Name of one binding of a task, unique for ever.
 
@@ -49,6 +47,8 @@
     :param deadline_ms: milliseconds left at sending.
     :param waiting: tasks of the pool that wait at the sender for a slot.
     :param pool: pool of targets; empty when it is named as the service.
+    :param priority: lower numbers start first where dispatches wait.
+    :param borrowed: it uses no credit, but a slot that others leave free.
     """
 
     name: TaskName
@@ -58,6 +58,8 @@
     deadline_ms: Count
     waiting: Count = 0
     pool: str = ''
+    priority: Count = 0
+    borrowed: bool = False
 
     @property
     def target_pool(self) -> str:
@@ -73,6 +75,7 @@
     :param reason: code of a refusal or a failure.
     :param run_ms: run time at the target.
     :param credits: start credits granted back to the entry with this message.
+    :param others: slots that the tasks of other entries use or wait for.
     """
 
     name: TaskName
@@ -81,6 +84,7 @@
     body: bytes = b''
     run_ms: float = 0
     credits: Count = 0
+    others: Count | None = None
 
 
 class Cancel(Message, frozen=True, tag='cancel'):
@@ -122,12 +126,14 @@
     :param state: ``open``, ``leaving`` (no new work) or ``closed``.
     :param running: tasks at the target.
     :param memory_mb: the target's resident memory as last reported.
+    :param watch: ``ON`` or ``ON_PROBE`` in a heartbeat to an entry that watches.
     """
 
     state: Identifier
     running: Count
     slots: Count
     memory_mb: Count = 0
+    watch: Watch = Watch.UNCHANGED
 
 
 class Acknowledge(Message, frozen=True, tag='acknowledge'):
@@ -174,11 +180,13 @@
     :param state: ``open`` or ``leaving``.
     :param usage: task starts a second that callers of each team asked for.
     :param map_version: version of the shard map that the sender knows.
+    :param probe: an agent answers with its `AgentState`.
     """
 
     state: Identifier
     usage: dict[Identifier, float] = {}
     map_version: Sequence = 0
+    probe: bool = False
 
 
 class AgentNews(Message, frozen=True, tag='agent_news'):
@@ -187,6 +195,12 @@
     agents: list[Identifier]
 
 
+class EntryNews(Message, frozen=True, tag='entry_news'):
+    """Entry to agent: entries to keep a link to, as ``host:port``."""
+
+    addresses: list[Identifier]
+
+
 class Forward(Message, frozen=True, tag='forward'):
     """Entry to entry: handle a caller's request at the owner of its key.
 
@@ -246,6 +260,7 @@
     | Recalled
     | EntryState
     | AgentNews
+    | EntryNews
     | Forward
     | Forwarded
     | TextRequest
--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -42,6 +42,7 @@
     payload: bytes
     listener: BindingListener
     agent: str = ''
+    borrowed: bool = False
 
 
 class Dispatcher:
@@ -65,6 +66,11 @@
         """Bindings that wait for a slot or for their outcome."""
         return len(self._submissions)
 
+    @property
+    def bound_agents(self) -> list[str]:
+        """Agents with bindings that have no outcome yet."""
+        return [agent for agent, names in self._bound_to.items() if names]
+
     def submit(
         self,
         task: 'PendingTask',
@@ -106,6 +112,9 @@
     def outcome_received(self, agent: str, outcome: Outcome) -> None:
         """Route an outcome to the listener of its binding."""
         now = _now()
+        if outcome.others is not None:
+            self._scheduler.others_reported(agent, outcome.others, now)
+            self._wakeup.set()
         if outcome.credits:
             self._scheduler.credits_granted(agent, outcome.credits, now)
             self._wakeup.set()
@@ -177,6 +186,7 @@
         for binding in self._scheduler.bind(now):
             submission = self._submissions[binding.task.name]
             submission.agent = binding.agent
+            submission.borrowed = binding.borrowed
             self._bound_to.setdefault(binding.agent, {})[binding.task.name] = None
             self._post(submission)
         for demand in self._scheduler.demands(now):
@@ -200,6 +210,8 @@
                 left_ms,
                 self._scheduler.waiting(task.target_pool),
                 task.pool,
+                task.priority,
+                submission.borrowed,
             ),
         )
 
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -55,6 +55,7 @@
 from endivetally_entry.measures import Measures
 from endivetally_entry.ownership import Ownership
 from endivetally_entry.peering import Peering
+from endivetally_entry.pulse import Pulse
 from endivetally_entry.recovery import Recovery
 from endivetally_entry.roster import AgentRoster
 from endivetally_entry.routes import make_application
@@ -62,6 +63,7 @@
 _log = logging.getLogger(__name__)
 
 TRANSPORT_BODY_FACTOR = 8
+BYTES_PER_MB = 1024 * 1024
 
 
 class Entry:
@@ -142,9 +144,14 @@
         return live
 
     def has_targets(self) -> bool:
-        """Return whether any target takes work from here."""
+        """Return whether every pool of the text has a target that takes work."""
         pools = self.keeper.text.pools
-        return any(self.scheduler.capacity(pool) for pool in pools)
+        return bool(pools) and all(self.scheduler.capacity(pool) for pool in pools)
+
+    def serves_every_pool(self) -> bool:
+        """Return whether a target of each pool takes work from here."""
+        pools = self.keeper.text.pools
+        return bool(pools) and all(map(self.scheduler.capacity, pools))
 
     async def wait_until_open(self, timeout_s: float) -> None:
         """Wait for the start to end, for a time at most."""
@@ -255,10 +262,12 @@
             self.journal,
             self.recovery,
             self.acknowledgements,
+            lambda: EntryState(self.state),
             self.registered,
         )
 
     def _wire_keys(self) -> None:
+        self.pulse = Pulse(asyncio.get_running_loop().time)
         sequences = itertools.count(1)
         self.directory = ShardDirectory(
             self.table,
@@ -270,7 +279,10 @@
             self.recovery,
             self.journal,
         )
-        self.ledger = KeyLedger(self.settings.key_retention_s)
+        self.ledger = KeyLedger(
+            self.settings.key_retention_s,
+            self.settings.key_memory_mb * BYTES_PER_MB,
+        )
         self.peering = Peering(self)
         self.entry_links = EntryLinks(
             self.identity,
@@ -290,6 +302,7 @@
             self.dispatcher,
             self.retries,
             self.acknowledgements,
+            self.pulse,
             sequences,
         )
         self.front = Front(
@@ -312,6 +325,16 @@
             'Requests and bindings without an end.',
             lambda: self.in_progress,
         )
+        self.measures.add_gauge(
+            'endivetally_remembered_keys',
+            'Keys of which this entry remembers the request.',
+            lambda: self.ledger.remembered,
+        )
+        self.measures.add_gauge(
+            'endivetally_remembered_bytes',
+            'Bytes of remembered answers.',
+            lambda: self.ledger.body_bytes,
+        )
         self.measures.add_gauge(
             'endivetally_text_version',
             "Version of the operators' text in force.",
@@ -326,7 +349,7 @@
         if update is not None:
             self.entry_links.broadcast(update)
         # The frame's version makes agents ask for the text.
-        self.roster.broadcast(EntryState(self.state))
+        self.roster.broadcast_to_watched(EntryState(self.state))
         _log.info('text in force', extra={'version': current.version})
 
     def _service_statuses(self) -> list[ServiceStatus]:
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -26,6 +26,7 @@
 
 TICK_S: Final = 0.25
 HEARTBEAT_S: Final = 1
+REPORT_S: Final = 1.5
 ACKNOWLEDGE_INTERVAL_S: Final = 60
 FROZEN_GAP_S: Final = 2
 MAP_INTERVAL_S: Final = 5
@@ -48,10 +49,12 @@
     def __init__(self, entry: Entry) -> None:
         self._entry = entry
         self._stopping = asyncio.Event()
+        self._agents_before = 0
         self._succession = Succession(
             entry.identity,
             entry.entry_links,
             entry.ownership.take_over,
+            self._is_isolated,
         )
         self._housekeeping = Housekeeping(
             entry.journal,
@@ -120,14 +123,15 @@
                 await self._entry.entry_links.connect_seed(seed)
             except LinkClosed:
                 continue
-        if self._entry.has_targets():
+        if self._entry.keeper.version:
+            await self._wait_for_targets()
             self._open()
 
     async def _wait_for_targets(self) -> None:
         """Give agents the time to join before callers are served."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + TARGETS_WAIT_S
-        while loop.time() < give_up_at and not self._entry.has_targets():
+        while loop.time() < give_up_at and not self._entry.serves_every_pool():
             await asyncio.sleep(TARGETS_POLL_S)
 
     def _open(self) -> None:
@@ -155,10 +159,12 @@
         entry = self._entry
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
+        asked_at = asyncio.get_running_loop().time()
         live = await entry.read_live()
         if entry.identity not in live:
             self._fenced()
             return
+        entry.pulse.confirm(asked_at)
         for identity in live:
             entry.entry_links.connect(identity)
         if entry.state == 'open' and entry.journal.available:
@@ -182,9 +188,11 @@
         next_flush = last_tick + ACKNOWLEDGE_INTERVAL_S
         while True:
             await asyncio.sleep(TICK_S)
+            self._entry.pulse.beat()
             now = loop.time()
             if now - last_tick > FROZEN_GAP_S:
                 self._entry.entry_links.restart_silence()
+                self._entry.roster.restart_silence()
             last_tick = now
             if now >= next_heartbeat:
                 next_heartbeat = now + HEARTBEAT_S
@@ -199,17 +207,40 @@
         silent = entry.agent_links.mark_silent_agents()
         if silent:
             entry.entry_links.broadcast(AgentNews(silent))
+        entry.agent_links.probe_silent_agents()
+        entry.agent_links.probe_busy_agents()
         if entry.journal.fenced:
             self._fenced()
         if entry.state == 'open':
+            await self._check_succession()
+
+    async def _check_succession(self) -> None:
+        if self._entry.entry_links.suspects():
+            # Their answers tell which side of a cut this entry is on.
+            self._entry.agent_links.probe_all_agents()
+        else:
+            self._agents_before = len(self._entry.roster.agents)
+        try:
             await self._succession.check()
+        except Fenced:
+            # Two entries may suspect each other; this one lost.
+            self._fenced()
+
+    def _is_isolated(self) -> bool:
+        """Return whether this entry does not hear most of the agents."""
+        recent = asyncio.get_running_loop().time() - REPORT_S
+        agents = self._entry.roster.agents
+        heard = [agent for agent in agents if agent.heard_at > recent]
+        return self._agents_before > 0 and len(heard) * 2 <= self._agents_before
 
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
         entry.quotas.tick(now)
-        entry.admission.set_entries(len(entry.known_identities()))
+        entries = len(entry.known_identities())
+        entry.admission.set_entries(entries)
+        entry.journal.set_rate(entry.settings.table_writes_per_s / entries)
         entry.peering.broadcast_state()
-        entry.roster.broadcast(EntryState(entry.state))
+        entry.agent_links.tell_entries(entry.known_identities())
         entry.ledger.prune()
 
     def _fenced(self) -> None:
@@ -227,11 +258,11 @@
         entry.peering.broadcast_state()
         entry.roster.broadcast(EntryState('leaving'))
         await asyncio.sleep(BALANCER_GRACE_S)
+        entry.server.stop()
         deadline = asyncio.get_running_loop().time() + entry.settings.drain_timeout_s
         while entry.open_requests and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         entry.acknowledgements.flush()
-        entry.server.stop()
         await asyncio.sleep(LINGER_S)
         _log.info('entry stopped')
 
--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -36,13 +36,14 @@
     return KeyedRequests(
         'entry-1.1',
         SimpleNamespace(owns=lambda _name: True),
-        KeyLedger(900),
+        KeyLedger(900, 1000),
         journal,
         SimpleNamespace(results_of_former_owners=results),
         SimpleNamespace(check=lambda *_details: None),
         parts.dispatcher,
         RetryPolicy(),
         Acknowledgements('entry-1.1', parts.roster),
+        SimpleNamespace(steady=True),
         itertools.count(1),
     )
 
