--- a/tests/differential/judge.py
+++ b/tests/differential/judge.py
@@ -68,6 +68,9 @@
         elif ran == 'not_run' and submission.code != 'key_conflict':
             self._check_not_run(submission, stale=stale)
 
+    def crashed(self, error):
+        self.faults.append(f'a task ended: {error!r}')
+
     def check_end(self, dead):
         """Check that everybody whose entry lives was answered."""
         for submission in self.submissions:
--- a/tests/differential/world.py
+++ b/tests/differential/world.py
@@ -15,6 +15,7 @@
 from endivetally_agent.session import EntrySession
 from endivetally_agent.tasks import TaskManager
 from endivetally_agent.texts import TextStore
+from endivetally_agent.watchers import Watchers
 from endivetally_config.settings import EntrySettings
 from endivetally_config.text import OperatorsText
 from endivetally_config.text import Service
@@ -148,7 +149,9 @@
 
     def spawn(self, coroutine):
         loop = asyncio.get_running_loop()
-        return loop.create_task(coroutine, context=self.context.copy())
+        task = loop.create_task(coroutine, context=self.context.copy())
+        task.add_done_callback(self.world.task_ended)
+        return task
 
     def freeze(self):
         self.was_frozen = True
@@ -259,6 +262,7 @@
         self.tasks = TaskManager(
             self.gate, ScriptedRunner(world), self.links, AgentCounters()
         )
+        self.watchers = Watchers(name, self.links, self.tasks, clock)
         self.texts = TextStore(clock)
         self.identity = AgentIdentity(
             name, self.incarnation, 'dc-1', 'rack-1', POOL, SLOTS, 64, 32_768
@@ -279,7 +283,7 @@
         while True:
             await asyncio.sleep(BEAT_S)
             self.announce()
-            self.links.broadcast(self.tasks.state)
+            self.watchers.beat()
             self.tasks.send_orders(self.tasks.ledger.expire_revocations())
 
     async def _keep(self, entry):
@@ -302,6 +306,8 @@
             links=self.links,
             texts=self.texts,
             counters=LinkCounters(),
+            watchers=self.watchers,
+            learn=lambda _address: None,
         )
         try:
             await session.serve()
@@ -356,6 +362,10 @@
         nodes[left.incarnation].serve(JoinRequest(entry=right), wire.left)
         nodes[right.incarnation].serve(JoinRequest(entry=left), wire.right)
 
+    def task_ended(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self._judge.crashed(task.exception())
+
     def submitted(self, submission):
         self._judge.submitted(submission)
 
