Answer calls with a misplaced key and empty introductions clearly

Cause: POST to .../jobs/KEY and DELETE of .../jobs reached a handler without the argument and were answered 500 internal, unknown. An introduction that named neither an agent nor an entry opened a listener that nobody closed. All three are malformed_request now; of the 27 cases of the new table over a real entry these three failed before.

The other cases of bad input (not JSON, sizes, keys, deadlines, tokens, other teams' keys) had their clear error already; each checks that nothing started and that the next request is answered.

--- a/libs/endivetally-entry/src/endivetally_entry/callers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/callers.py
@@ -223,12 +223,18 @@
 class JobsHandler(CallerHandler):
     """``/v1/services/{service}/jobs``: submit or cancel a job."""
 
-    async def post(self, service: str) -> None:
+    async def post(self, service: str, key: str = '') -> None:
         """Run a job."""
+        if key:
+            await self._answer_malformed('a submission has its key in the header')
+            return
         await self.answer_request(service)
 
-    async def delete(self, service: str, key: str) -> None:
+    async def delete(self, service: str, key: str = '') -> None:
         """Cancel a job."""
+        if not key:
+            await self._answer_malformed('a cancellation has its key in the path')
+            return
         await self.answer_request(service, cancel=True)
 
     def tasks_of(self, service: Service) -> tuple[bytes, ...]:
@@ -249,6 +255,10 @@
             )
         return tuple(_checked_payload(bytes(task)) for task in body.tasks)
 
+    async def _answer_malformed(self, detail: str) -> None:
+        error = RequestError(ErrorKind.MALFORMED_REQUEST, detail)
+        await self.answer_with(error_answer(error))
+
 
 def _checked_payload(payload: bytes) -> bytes:
     if len(payload) > MAX_PAYLOAD_BYTES:
--- a/libs/endivetally-entry/src/endivetally_entry/operators.py
+++ b/libs/endivetally-entry/src/endivetally_entry/operators.py
@@ -137,7 +137,11 @@
             await self.answer_with(error_answer(malformed))
             return
         joiner = joining.agent or joining.entry
-        if joiner and self._entry.shaper.is_cut(joiner.name, joiner.data_centre):
+        if joiner is None:
+            nobody = RequestError(ErrorKind.MALFORMED_REQUEST, 'nobody joins')
+            await self.answer_with(error_answer(nobody))
+            return
+        if self._entry.shaper.is_cut(joiner.name, joiner.data_centre):
             cut = RequestError(ErrorKind.NOT_READY, 'the peer is cut off')
             await self.answer_with(error_answer(cut))
             return
