End the entry with exit code 2 when it can't use its settings

Cause: without an argument or on a port in use the entry ended with a stack trace and 1; serve gave 1 for faulty settings where the daemons' modules gave 2.

--- a/libs/endivetally-entry/src/endivetally_entry/__main__.py
+++ b/libs/endivetally-entry/src/endivetally_entry/__main__.py
@@ -1,4 +1,4 @@
-"""Runs an entry: ``python -m endivetally_entry SETTINGS``."""
+"""Runs an entry: ``python -m endivetally_entry SETTINGS.json``."""
 
 import sys
 from pathlib import Path
@@ -8,12 +8,14 @@
 from endivetally_config.settings import EntrySettings
 
 from endivetally_entry import run_entry
-
-EXIT_USAGE = 2
+from endivetally_entry.lifecycle import EXIT_USAGE
 
 
 def main() -> int:
-    """Run an entry with the settings file that is the first argument."""
+    """Run an entry with the settings file that is the only argument."""
+    if len(sys.argv) != 2:
+        sys.stderr.write('usage: python -m endivetally_entry SETTINGS.json\n')
+        return EXIT_USAGE
     try:
         settings = load_settings(Path(sys.argv[1]), EntrySettings)
     except SettingsInvalid as error:
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import signal
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Final
@@ -37,6 +38,7 @@
 BALANCER_GRACE_S: Final = 1
 LINGER_S: Final = 0.3
 EXIT_OK: Final = 0
+EXIT_USAGE: Final = 2
 EXIT_FENCED: Final = 75
 
 
@@ -277,4 +279,9 @@
 
 async def run_lifecycle(settings: 'EntrySettings') -> int:
     """Run an entry in the current event loop; return the exit code."""
-    return await Lifecycle(Entry(settings)).run()
+    try:
+        entry = Entry(settings)
+    except OSError as error:
+        sys.stderr.write(f'{settings.listen}: {error.strerror}\n')
+        return EXIT_USAGE
+    return await Lifecycle(entry).run()
--- a/libs/endivetally/src/endivetally/cli_common.py
+++ b/libs/endivetally/src/endivetally/cli_common.py
@@ -103,7 +103,7 @@
         raise typer.Exit(ExitCode.UNREACHABLE) from error
     except SettingsInvalid as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(ExitCode.FAILED) from error
+        raise typer.Exit(ExitCode.USAGE) from error
 
 
 def _exit_code(kind: ErrorKind) -> ExitCode:
