--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -42,6 +42,7 @@
     payload: bytes
     listener: BindingListener
     agent: str = ''
+    borrowed: bool = False
 
 
 class Dispatcher:
@@ -111,6 +112,9 @@
     def outcome_received(self, agent: str, outcome: Outcome) -> None:
         """Route an outcome to the listener of its binding."""
         now = _now()
+        if outcome.others is not None:
+            self._scheduler.others_reported(agent, outcome.others, now)
+            self._wakeup.set()
         if outcome.credits:
             self._scheduler.credits_granted(agent, outcome.credits, now)
             self._wakeup.set()
@@ -182,6 +186,7 @@
         for binding in self._scheduler.bind(now):
             submission = self._submissions[binding.task.name]
             submission.agent = binding.agent
+            submission.borrowed = binding.borrowed
             self._bound_to.setdefault(binding.agent, {})[binding.task.name] = None
             self._post(submission)
         for demand in self._scheduler.demands(now):
@@ -205,6 +210,8 @@
                 left_ms,
                 self._scheduler.waiting(task.target_pool),
                 task.pool,
+                task.priority,
+                submission.borrowed,
             ),
         )
 
