--- a/libs/endivetally-entry/src/endivetally_entry/executions.py
+++ b/libs/endivetally-entry/src/endivetally_entry/executions.py
@@ -148,7 +148,9 @@
         history = self._histories.setdefault(number, _BindingHistory())
         if history.starts and outcome.reason == STARTED_BEFORE_REASON:
             # The scheduler comes back to an agent only when none is left.
-            kind = ErrorKind.TASK_FAILED if self._some_ran else ErrorKind.OUTCOME_UNKNOWN
+            kind = (
+                ErrorKind.TASK_FAILED if self._some_ran else ErrorKind.OUTCOME_UNKNOWN
+            )
             self._give_up(kind, 'it was tried at every target')
             return
         history.add(outcome.status)
--- a/tests/entry/test_dispatching.py
+++ b/tests/entry/test_dispatching.py
@@ -88,3 +88,16 @@
         await _turns(10)
         assert run.done()
         assert run.exception().kind is ErrorKind.TASK_FAILED
+
+
+class TestDemand:
+    async def test_agents_hear_that_no_task_waits_any_more(self):
+        parts = Dispatching()
+        execution = Execution(request(), 'e.1', 1, parts.dispatcher, RetryPolicy())
+        run = asyncio.create_task(execution.run())
+        async with asyncio.timeout(20):
+            while not parts.demands:
+                await asyncio.sleep(0.01)
+        execution.cancel()
+        await asyncio.gather(run, return_exceptions=True)
+        assert [each.waiting for each in parts.demands] == [1, 0]
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -16,10 +16,9 @@
 from endivetally_entry import Entry
 from endivetally_entry import Lifecycle
 from endivetally_table.memory import MemoryTable
-from tornado.httpclient import AsyncHTTPClient
-
 from entry.parts import AGENT
 from entry.parts import KeptLink
+from tornado.httpclient import AsyncHTTPClient
 
 ADDRESS = Address('127.0.0.1', 0)
 TEXT = OperatorsText(
