--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -91,7 +91,8 @@
         withdrawn = self._scheduler.withdraw(owner, sequence)
         for pending in withdrawn:
             self._submissions.pop(pending.name, None)
-        for pool in {pending.target_pool for pending in withdrawn}:
+        pools = {task.target_pool for task in withdrawn}
+        for pool in pools:
             self._end_demand(pool)
         return [task.name.number for task in withdrawn]
 
