--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import signal
+import sys
 from math import inf
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -40,6 +41,7 @@
 BALANCER_GRACE_S: Final = 1
 LINGER_S: Final = 0.3
 EXIT_OK: Final = 0
+EXIT_USAGE: Final = 2
 EXIT_FENCED: Final = 75
 
 
@@ -146,7 +148,7 @@
         _log.info('entry open', extra={'incarnation': self._entry.identity.incarnation})
 
     async def _connect_entries(self) -> None:
-        for identity in await self._entry.registry.live():
+        for identity in await self._entry.read_live():
             self._entry.entry_links.connect(identity)
 
     async def _refresh_forever(self) -> None:
@@ -164,7 +166,7 @@
         await entry.keeper.load(entry.table)
         await entry.ownership.refresh()
         asked_at = asyncio.get_running_loop().time()
-        live = await entry.registry.live()
+        live = await entry.read_live()
         if entry.identity not in live:
             self._fenced()
             return
@@ -242,7 +244,9 @@
     def _send_heartbeats(self, now: float) -> None:
         entry = self._entry
         entry.quotas.tick(now)
-        entry.admission.set_entries(len(entry.known_identities()))
+        entries = len(entry.known_identities())
+        entry.admission.set_entries(entries)
+        entry.journal.set_rate(entry.settings.table_writes_per_s / entries)
         entry.peering.broadcast_state()
         entry.agent_links.tell_entries(entry.known_identities())
         entry.ledger.prune()
@@ -281,4 +285,9 @@
 
 async def run_lifecycle(settings: 'EntrySettings') -> int:
     """Run an entry in the current event loop; return the exit code."""
-    return await Lifecycle(Entry(settings)).run()
+    try:
+        entry = Entry(settings)
+    except OSError as error:
+        sys.stderr.write(f'{settings.listen}: {error.strerror}\n')
+        return EXIT_USAGE
+    return await Lifecycle(entry).run()
--- a/tests/entry/test_dispatching.py
+++ b/tests/entry/test_dispatching.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import RunState
 from endivetally_core.messages import Cancel
@@ -68,3 +69,35 @@
         await _turns(5)
         assert caught.value.ran is RunState.NOT_RUN
         assert parts.dispatches == []
+
+
+class TestRetry:
+    async def test_a_task_that_failed_everywhere_fails_at_once(self):
+        parts = Dispatching()
+        execution = Execution(
+            request(kind='idempotent'), 'e.1', 1, parts.dispatcher, RetryPolicy()
+        )
+        run = asyncio.create_task(execution.run())
+        for outcome in (('failed', 'status_500'), ('refused', 'duplicate')):
+            parts.dispatcher.credits_granted(AGENT.incarnation, 1)
+            await _turns(10)
+            name = parts.dispatches[-1].name
+            parts.dispatcher.outcome_received(
+                AGENT.incarnation, Outcome(name, *outcome)
+            )
+        await _turns(10)
+        assert run.done()
+        assert run.exception().kind is ErrorKind.TASK_FAILED
+
+
+class TestDemand:
+    async def test_agents_hear_that_no_task_waits_any_more(self):
+        parts = Dispatching()
+        execution = Execution(request(), 'e.1', 1, parts.dispatcher, RetryPolicy())
+        run = asyncio.create_task(execution.run())
+        async with asyncio.timeout(20):
+            while not parts.demands:
+                await asyncio.sleep(0.01)
+        execution.cancel()
+        await asyncio.gather(run, return_exceptions=True)
+        assert [each.waiting for each in parts.demands] == [1, 0]
