Let waits of an entry expire at the agent; keep planned leavers unfenced

Ruled out: (1) ending the wait later at the entry, which costs the same messages; (2) an exception to the gate's fence for idempotent work. Conclusion: a report of waiting tasks holds for two periods of the agent; entries name only rows in state fenced.

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -223,7 +223,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             self._watchers.beat()
-            self._tasks.send_orders(self._tasks.ledger.expire_revocations())
+            self._tasks.send_orders(self._tasks.ledger.expire_reports())
 
     async def _trim(self) -> None:
         while True:
--- a/libs/endivetally-agent/src/endivetally_agent/slots.py
+++ b/libs/endivetally-agent/src/endivetally_agent/slots.py
@@ -7,6 +7,11 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Final
+
+# Periods after which a report of waiting tasks is out of date; longer than a
+# revocation takes to be overdue.
+WAITING_PERIODS: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +35,7 @@
     :param running: its tasks that hold a slot by a credit.
     :param borrowed: its other tasks at the target.
     :param waiting: tasks that wait there, as it said last, less later grants.
+    :param waiting_age: periods since it said so.
     :param revoking: credits that it was asked to give back.
     :param void: credits that the ledger took without waiting for an answer.
     :param overdue: the revocation was already unanswered one period ago.
@@ -39,6 +45,7 @@
     running: int = 0
     borrowed: int = 0
     waiting: int = 0
+    waiting_age: int = 0
     revoking: int = 0
     void: int = 0
     overdue: bool = False
@@ -53,6 +60,17 @@
         """Credits that can be asked back: nobody waits for a slot there."""
         return 0 if self.waiting else max(self.credits - self.revoking, 0)
 
+    def report_waiting(self, waiting: int) -> None:
+        """Take in how many tasks wait there."""
+        self.waiting = waiting
+        self.waiting_age = 0
+
+    def expire_waiting(self) -> None:
+        """Forget waiting tasks beside unused credits, unless reported lately."""
+        self.waiting_age += 1
+        if self.credits and self.waiting_age > WAITING_PERIODS:
+            self.waiting = 0
+
 
 @dataclass(slots=True)
 class SlotLedger:
@@ -161,7 +179,7 @@
         holding = self._holdings.get(entry)
         if holding is None:
             return []
-        holding.waiting = waiting
+        holding.report_waiting(waiting)
         orders = self._share_free()
         coming = sum(other.revoking for other in self._holdings.values())
         return orders + self._revoke_idle(holding.waiting - coming, entry, 0)
@@ -171,9 +189,14 @@
         holding = self._holdings.get(entry, Holding())
         return holding.revoking > 0 or holding.void > 0
 
-    def expire_revocations(self) -> list[CreditOrder]:
-        """Take credits whose revocation stays unanswered; called periodically."""
+    def expire_reports(self) -> list[CreditOrder]:
+        """Take credits whose revocation stays unanswered; called periodically.
+
+        Reports of waiting tasks that were not renewed are forgotten as well, so
+        that idle credits do not stay with an entry whose tasks went elsewhere.
+        """
         for holding in self._holdings.values():
+            holding.expire_waiting()
             if holding.overdue:
                 taken = min(holding.revoking, holding.credits)
                 holding.credits -= taken
@@ -207,7 +230,7 @@
         holding = self._holdings.get(entry)
         if holding is None:
             return False
-        holding.waiting = waiting
+        holding.report_waiting(waiting)
         if holding.credits:
             holding.credits -= 1
             return True
--- a/libs/endivetally-entry/src/endivetally_entry/dispatching.py
+++ b/libs/endivetally-entry/src/endivetally_entry/dispatching.py
@@ -59,7 +59,6 @@
         self._roster = roster
         self._submissions: dict[TaskName, _Submission] = {}
         self._bound_to: dict[str, dict[TaskName, None]] = {}
-        self._told_to_wait: dict[str, set[str]] = {}
         self._wakeup = asyncio.Event()
 
     @property
@@ -91,9 +90,6 @@
         withdrawn = self._scheduler.withdraw(owner, sequence)
         for pending in withdrawn:
             self._submissions.pop(pending.name, None)
-        pools = {task.target_pool for task in withdrawn}
-        for pool in pools:
-            self._end_demand(pool)
         return [task.name.number for task in withdrawn]
 
     def cancel(self, names: list[TaskName]) -> None:
@@ -185,23 +181,6 @@
             async with asyncio.timeout(timeout):
                 await self._wakeup.wait()
 
-    def _end_demand(self, pool: str) -> None:
-        """Tell agents that no task waits here any more.
-
-        They would keep the credits here as needed, away from other entries.
-        """
-        if self._scheduler.waiting(pool):
-            return
-        for agent in self._told_to_wait.pop(pool, ()):
-            self._roster.post(agent, Demand(pool, 0))
-
-    def _note_demand(self, agent: str, pool: str, waiting: int) -> None:
-        told = self._told_to_wait.setdefault(pool, set())
-        if waiting:
-            told.add(agent)
-        else:
-            told.discard(agent)
-
     def _bind_ready_tasks(self) -> None:
         now = _now()
         for binding in self._scheduler.bind(now):
@@ -210,10 +189,7 @@
             submission.borrowed = binding.borrowed
             self._bound_to.setdefault(binding.agent, {})[binding.task.name] = None
             self._post(submission)
-        for pool in list(self._told_to_wait):
-            self._end_demand(pool)
         for demand in self._scheduler.demands(now):
-            self._note_demand(demand.agent, demand.service, demand.waiting)
             self._roster.post(demand.agent, Demand(demand.service, demand.waiting))
         for task in self._scheduler.expired(now):
             expired = self._submissions.pop(task.name, None)
@@ -224,8 +200,6 @@
         task = submission.task
         self.dispatched += 1
         left_ms = max(int((task.deadline - _now()) * 1000), 0)
-        waiting = self._scheduler.waiting(task.target_pool)
-        self._note_demand(submission.agent, task.target_pool, waiting)
         self._roster.post(
             submission.agent,
             Dispatch(
@@ -234,7 +208,7 @@
                 task.kind.value,
                 submission.payload,
                 left_ms,
-                waiting,
+                self._scheduler.waiting(task.target_pool),
                 task.pool,
                 task.priority,
                 submission.borrowed,
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -81,7 +81,7 @@
         self.opened = asyncio.Event()
         self.stack = AsyncExitStack()
         self.shaper = RuleShaper()
-        self._ended: set[str] = set()
+        self._fenced: list[str] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self.identity = self._listen()
         self._wire_text()
@@ -128,20 +128,22 @@
         return self.entry_links.identities
 
     def fenced_entries(self) -> list[str]:
-        """Return former owners that the table has told to have ended."""
-        return list(self._ended)
+        """Return entries that were taken over, as the table last told.
+
+        Those that left as planned are not among them: they finish their work.
+        """
+        return list(self._fenced)
 
     async def read_live(self) -> list[EntryIdentity]:
-        """Return the live entries, and note the former owners that are not.
+        """Return the live entries, and note those that were taken over.
 
         :raises TableUnavailable: when the table does not answer.
         """
-        # Owners register first: whoever lost shards before the read and is not
-        # in it has ended.
-        former = {owner.incarnation for owner in self.directory.shard_map.former}
-        live = await self.registry.live()
-        self._ended = former - {identity.incarnation for identity in live}
-        return live
+        rows = await self.registry.rows()
+        self._fenced = [
+            row.identity.incarnation for row in rows if row.state == 'fenced'
+        ]
+        return [row.identity for row in rows if row.state == 'live']
 
     def has_targets(self) -> bool:
         """Return whether every pool of the text has a target that takes work."""
--- a/libs/endivetally-entry/src/endivetally_entry/executions.py
+++ b/libs/endivetally-entry/src/endivetally_entry/executions.py
@@ -129,14 +129,20 @@
         if outcome.status in {'unknown', 'cancelled'}:
             self._uncertain = True
         if outcome.reason == FENCED_REASON:
-            # Another entry owns the request now and may have run it.
-            self._fail(OwnershipMoved(self._request.key))
+            self._end_as_fenced()
             return
         if outcome.status == 'done':
             self._fail(RequestError(ErrorKind.ANSWER_LOST, outcome.reason))
             return
         self._retry_or_fail(task, agent, outcome)
 
+    def _end_as_fenced(self) -> None:
+        if self._request.exclusive:
+            # Another entry owns the request now and may have run it.
+            self._fail(OwnershipMoved(self._request.key))
+        else:
+            self._give_up(ErrorKind.DRAINING, 'this entry was taken over')
+
     def _retry_or_fail(
         self,
         task: PendingTask,
--- a/libs/endivetally-table/src/endivetally_table/entries.py
+++ b/libs/endivetally-table/src/endivetally_table/entries.py
@@ -102,13 +102,17 @@
 
     async def live(self) -> list[EntryIdentity]:
         """Return the entries that are live."""
-        return [row.identity for row in await self._rows() if row.state == 'live']
+        return [row.identity for row in await self.rows() if row.state == 'live']
 
     async def fenced(self) -> list[EntryIdentity]:
         """Return the entries that were taken over."""
-        return [row.identity for row in await self._rows() if row.state == 'fenced']
+        return [row.identity for row in await self.rows() if row.state == 'fenced']
 
-    async def _rows(self) -> list[EntryRow]:
+    async def rows(self) -> list[EntryRow]:
+        """Return the rows of all entries.
+
+        :raises TableUnavailable: when the service does not answer.
+        """
         return await scan_entries(self._table)
 
     async def _write(self, row: EntryRow, condition: Condition) -> None:
