Count later work of higher priorities when admitting lower ones

Admission compared a request with what waits now; notes were admitted and then starved behind lookups that came later, until their deadline. Ruled out: shedding at the deadline's approach, which still holds an answer back. The new test fails without the change. Conclusion: work admitted in the last seconds at higher priorities takes its slots off the estimate.

--- a/libs/endivetally-policy/src/endivetally_policy/admission.py
+++ b/libs/endivetally-policy/src/endivetally_policy/admission.py
@@ -12,6 +12,8 @@
 from endivetally_core.errors import RequestError
 from endivetally_core.messages import MAX_TASKS_PER_JOB
 
+from endivetally_policy.work_rates import WorkRates
+
 if TYPE_CHECKING:
     from endivetally_policy.estimates import RunTimeEstimates
     from endivetally_policy.quotas import TeamQuotas
@@ -20,6 +22,7 @@
 _LEAST_RETRY_S: Final = 1
 _MS_PER_S: Final = 1000.0
 _MAX_RUN_SHARE: Final = 0.5
+_LEAST_SLOTS: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,18 @@
         return self.wait_s - self.allowed_s
 
 
+@dataclass(frozen=True, slots=True)
+class _Span:
+    """Time that a request has, in monotonic seconds."""
+
+    now: float
+    deadline: float
+
+    @property
+    def budget_s(self) -> float:
+        return self.deadline - self.now
+
+
 class Admission:
     """Admits requests, or refuses them before anything of them ran.
 
@@ -67,6 +82,7 @@
         self._estimates = estimates
         self._quotas = quotas
         self._settings = settings or AdmissionSettings()
+        self._rates = WorkRates()
         self._entries = 1
         self._text = OperatorsText((), ())
         self._services: dict[str, Service] = {}
@@ -118,9 +134,11 @@
         self._check_feasible(declared, tasks, deadline, now)
         self._check_targets(declared)
         self._check_dependencies(declared, deadline - now)
-        self._check_backlog(declared, team, tasks, deadline - now)
+        self._check_backlog(declared, team, tasks, _Span(now, deadline))
         self._check_quota(team, tasks, now)
         self._quotas.take(team, tasks, now)
+        work_s = tasks * self._estimates.of(service).mean_s
+        self._rates.add(declared.target_pool, declared.priority, work_s, now)
 
     def _check_feasible(
         self,
@@ -171,9 +189,9 @@
         service: Service,
         team: str,
         tasks: int,
-        budget_s: float,
+        span: '_Span',
     ) -> None:
-        backlog = self._backlog(service, team, tasks, budget_s)
+        backlog = self._backlog(service, team, tasks, span)
         if backlog.wait_s > 0 and backlog.excess_s > 0:
             raise RequestError(
                 ErrorKind.OVERLOADED,
@@ -194,7 +212,7 @@
         service: Service,
         team: str,
         tasks: int,
-        budget_s: float,
+        span: '_Span',
     ) -> _Backlog:
         ahead = self._scheduler.ahead(
             service.target_pool,
@@ -203,20 +221,24 @@
             self._weights.get(team, 1),
             tasks,
         )
-        answer_s = budget_s
+        answer_s = span.budget_s
         if service.kind is not ServiceKind.JOB:
-            answer_s = min(budget_s, service.objective.response_ms / _MS_PER_S)
+            answer_s = min(answer_s, service.objective.response_ms / _MS_PER_S)
         run_s = min(self._estimates.of(service.name).p95_s, answer_s * _MAX_RUN_SHARE)
-        wait_s = self._wait_s(service.target_pool, ahead + tasks)
+        # Later requests of higher priorities go first as well.
+        pool = service.target_pool
+        overtaken = self._rates.before(pool, service.priority, span.now)
+        wait_s = self._wait_s(pool, ahead + tasks, overtaken)
         return _Backlog(wait_s, answer_s - run_s)
 
-    def _wait_s(self, pool: str, tasks: int) -> float:
+    def _wait_s(self, pool: str, tasks: int, overtaken: float = 0) -> float:
         outstanding = self._scheduler.outstanding(pool)
         share = self._scheduler.capacity(pool) / self._entries
         slots = max(1, share, outstanding, self._scheduler.available(pool))
         if tasks + outstanding <= slots:
             return 0
-        return tasks * self._estimates.of(pool).mean_s / slots
+        left = max(_LEAST_SLOTS, slots - overtaken)
+        return tasks * self._estimates.of(pool).mean_s / left
 
 
 def needed_services(name: str, services: dict[str, Service]) -> tuple[str, ...]:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -182,3 +182,35 @@
         made.set_text(TEXT, 0)
         scheduler.task_ended('agent-0.0', SERVICE, 'done', 80, 0)
         assert scheduler.estimates.of(SERVICE).mean_s < 0.5
+
+
+class TestPriorities:
+    TEXT = OperatorsText(
+        services=(
+            Service('first', IDEMPOTENT, priority=0, run_ms=500, pool='shared'),
+            Service('second', IDEMPOTENT, priority=1, run_ms=500, pool='shared'),
+        ),
+        teams=(Team('a', 'token-a', tasks_per_s=100_000),),
+    )
+
+    def _admission(self):
+        scheduler = CreditScheduler('dc1')
+        scheduler.agent_joined(identity(0, service='shared'), 0)
+        made = Admission(scheduler, scheduler.estimates, TeamQuotas())
+        made.set_text(self.TEXT, 0)
+        return made, scheduler
+
+    def test_a_backlog_behind_higher_priorities_is_refused_at_once(self):
+        made, scheduler = self._admission()
+        for number in range(64):
+            made.check('a', 'first', 1, 100.0, number / 32)
+        for number in range(10):
+            scheduler.submit(task(number, service='first', pool='shared'), 0)
+        late = refusal(made, service='second', deadline=10.0, now=2.0)
+        assert late.kind is ErrorKind.OVERLOADED
+
+    def test_free_slots_are_open_to_every_priority(self):
+        made, _ = self._admission()
+        for number in range(64):
+            made.check('a', 'first', 1, 100.0, number / 32)
+        made.check('a', 'second', 1, 10.0, 2.0)
