--- a/libs/endivetally/src/endivetally/capacity/remedies.py
+++ b/libs/endivetally/src/endivetally/capacity/remedies.py
@@ -46,9 +46,9 @@
             'records, or records by request with bit sets'
         ),
         'journal writes': (
-            'one write for the jobs of several entries: a bounded wait before the '
-            'write at low rates, which trades response time for writes; or a '
-            'platform service that takes more'
+            'built after this measurement: each entry keeps within its share of '
+            'the writes and groups what gathers meanwhile, which trades response '
+            'time for writes; not measured at this size'
         ),
         'processor time of one replaced entry': (
             'spread joins over a time that grows with the number of agents'
