Group the command line's modules into packages

Cause: 40 modules with prefixes stood side by side in one package; a newcomer had to read names to see what belongs together. Ruled out: separate distributions for bench and fleet, which share half of their modules with demo and scenarios. Conclusion: fleet, load, bench, demo, burn, commands and scenarios; no logic changed; the tests of the command line, bench, capacity and scenario language pass.

--- /dev/null
+++ b/libs/endivetally/src/endivetally/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: response times and messages against the least possible."""
--- a/libs/endivetally/src/endivetally/bench.py
+++ b/libs/endivetally/src/endivetally/bench/command.py
@@ -10,14 +10,14 @@
 import typer
 from rich.console import Console
 
-from endivetally.bench_faults import FAULTS
-from endivetally.bench_report import RunReport
-from endivetally.bench_report import report_table
-from endivetally.bench_report import run_fields
-from endivetally.bench_run import BenchPlan
-from endivetally.bench_run import BenchRun
-from endivetally.cli_capacity import measure
-from endivetally.fleet_deployment import deployment_named
+from endivetally.bench.faults import FAULTS
+from endivetally.bench.report import RunReport
+from endivetally.bench.report import report_table
+from endivetally.bench.report import run_fields
+from endivetally.bench.run import BenchPlan
+from endivetally.bench.run import BenchRun
+from endivetally.commands.capacity import measure
+from endivetally.fleet.deployment import deployment_named
 from endivetally.plots import plot_runs
 
 OURS: Final = 'ours'
--- a/libs/endivetally/src/endivetally/bench_faults.py
+++ b/libs/endivetally/src/endivetally/bench/faults.py
@@ -9,10 +9,10 @@
 from endivetally_standins.target import Faults as TargetFaults
 from endivetally_table.memory import TableFaults
 
-from endivetally.bench_probes import FleetProbe
+from endivetally.bench.probes import FleetProbe
 from endivetally.fleet import Fleet
-from endivetally.fleet_deployment import Worker
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.deployment import Worker
+from endivetally.fleet.process import FleetProcess
 
 FAULT_BEGINS: Final = 0.25
 FAULT_ENDS: Final = 0.6
--- a/libs/endivetally/src/endivetally/bench_mix.py
+++ b/libs/endivetally/src/endivetally/bench/mix.py
@@ -7,9 +7,9 @@
 from endivetally_config.text import Service
 from endivetally_config.text import ServiceKind
 
-from endivetally.fleet_deployment import Deployment
-from endivetally.load_mix import RequestKind
-from endivetally.load_mix import RunTimes
+from endivetally.fleet.deployment import Deployment
+from endivetally.load.mix import RequestKind
+from endivetally.load.mix import RunTimes
 
 JOB_TASKS: Final = (2, 16)
 # Share of a pool's load that each service brings, in elevenths.
--- a/libs/endivetally/src/endivetally/bench_probes.py
+++ b/libs/endivetally/src/endivetally/bench/probes.py
@@ -7,10 +7,10 @@
 import msgspec
 import psutil
 
-from endivetally.bench_messages import parse_messages
+from endivetally.bench.messages import parse_messages
 from endivetally.fleet import Fleet
-from endivetally.fleet_client import ProcessUnreachable
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.client import ProcessUnreachable
+from endivetally.fleet.process import FleetProcess
 
 ROLES: Final = ('entry', 'agent', 'target', 'table')
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/burn/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- a/libs/endivetally/src/endivetally/burn_page.py
+++ b/libs/endivetally/src/endivetally/burn/page.py
@@ -7,25 +7,24 @@
 from importlib import resources
 from typing import Final
 
-import endivetally
-from endivetally.burn import TIMELINE_STEP_S
-from endivetally.burn import WINDOWS_S
-from endivetally.burn import BurnReport
-from endivetally.burn import ServiceReport
-from endivetally.burn import burn_rate
-from endivetally.burn_table import describe_objective
-from endivetally.burn_table import describe_spending
-from endivetally.burn_table import name_window
+from endivetally.burn.report import TIMELINE_STEP_S
+from endivetally.burn.report import WINDOWS_S
+from endivetally.burn.report import BurnReport
+from endivetally.burn.report import ServiceReport
+from endivetally.burn.report import burn_rate
+from endivetally.burn.table import describe_objective
+from endivetally.burn.table import describe_spending
+from endivetally.burn.table import name_window
 
 _FIGURE_INCHES: Final = (9, 4)
 _SECONDS_PER_HOUR: Final = 3600
 
-_TEMPLATE: Final = 'burn_page.html'
+_TEMPLATE: Final = 'page.html'
 
 
 def render_page(report: BurnReport) -> str:
     """Return the report as an HTML page that needs no other file."""
-    template = resources.files(endivetally).joinpath(_TEMPLATE)
+    template = resources.files(__package__).joinpath(_TEMPLATE)
     moment = datetime.datetime.fromtimestamp(report.now_s, datetime.UTC)
     without = f'; without {", ".join(report.unreachable)}' if report.unreachable else ''
     windows = [f'burn {name_window(window_s)}' for window_s in WINDOWS_S]
--- a/libs/endivetally/src/endivetally/burn_table.py
+++ b/libs/endivetally/src/endivetally/burn/table.py
@@ -7,10 +7,10 @@
 from rich.table import Table
 from rich.text import Text
 
-from endivetally.burn import WINDOWS_S
-from endivetally.burn import Alert
-from endivetally.burn import BurnReport
-from endivetally.burn import ServiceReport
+from endivetally.burn.report import WINDOWS_S
+from endivetally.burn.report import Alert
+from endivetally.burn.report import BurnReport
+from endivetally.burn.report import ServiceReport
 
 _ALERT_STYLES = {Alert.NONE: 'green', Alert.TICKET: 'yellow', Alert.PAGE: 'bold red'}
 
--- a/libs/endivetally/src/endivetally/capacity/caller.py
+++ b/libs/endivetally/src/endivetally/capacity/caller.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import HTTPRequest
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_process import FleetError
+from endivetally.fleet.process import FleetError
 
 JOB_SERVICE: Final = 'sweeps'
 LOOKUP_SERVICE: Final = 'lookups'
--- a/libs/endivetally/src/endivetally/capacity/counters.py
+++ b/libs/endivetally/src/endivetally/capacity/counters.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from endivetally.bench_messages import parse_messages
+from endivetally.bench.messages import parse_messages
 
 _TOTAL: Final = re.compile(r'^endivetally_(\w+)_total(?:{})?\s+(\S+)', re.MULTILINE)
 
--- a/libs/endivetally/src/endivetally/capacity/processes.py
+++ b/libs/endivetally/src/endivetally/capacity/processes.py
@@ -10,7 +10,7 @@
 from endivetally.capacity.counters import LinkTotals
 from endivetally.capacity.counters import parse_totals
 from endivetally.fleet import Fleet
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.process import FleetProcess
 
 BYTES_PER_MB: Final = 1_000_000
 
--- a/libs/endivetally/src/endivetally/capacity/propagation.py
+++ b/libs/endivetally/src/endivetally/capacity/propagation.py
@@ -13,8 +13,8 @@
 from endivetally.capacity.stage import hosted_agents
 from endivetally.capacity.stage import staged_fleet
 from endivetally.fleet import Fleet
-from endivetally.fleet_process import FleetError
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.process import FleetError
+from endivetally.fleet.process import FleetProcess
 
 ENTRIES: Final = 4
 AGENT_COUNTS: Final = (10, 25, 50, 100)
--- a/libs/endivetally/src/endivetally/capacity/stage.py
+++ b/libs/endivetally/src/endivetally/capacity/stage.py
@@ -8,11 +8,11 @@
 from typing import Final
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_deployment import LOVDATA
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_deployment import place_entries
-from endivetally.fleet_deployment import place_workers
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.deployment import LOVDATA
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.deployment import place_entries
+from endivetally.fleet.deployment import place_workers
+from endivetally.fleet.process import FleetProcess
 
 DATA_CENTRES: Final = ('dc-1',)
 POOL: Final = 'search-front'
--- a/libs/endivetally/src/endivetally/capacity/work_cost.py
+++ b/libs/endivetally/src/endivetally/capacity/work_cost.py
@@ -15,7 +15,7 @@
 from endivetally.capacity.recording import make_slope
 from endivetally.capacity.stage import staged_fleet
 from endivetally.fleet import Fleet
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.process import FleetProcess
 
 RUN: Final = 'work'
 WORKERS: Final = 4
--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -18,14 +18,14 @@
 # imported when they are called, so that a daemon does not load the reports.
 COMMANDS: Final[Mapping[str, str]] = MappingProxyType(
     {
-        'serve': 'endivetally.cli_serve',
-        'config': 'endivetally.cli_config',
-        'status': 'endivetally.cli_status',
-        'report': 'endivetally.cli_report',
-        'demo': 'endivetally.demo',
-        'bench': 'endivetally.bench',
-        'capacity': 'endivetally.cli_capacity',
-        'scenario': 'endivetally.scenario',
+        'serve': 'endivetally.commands.serve',
+        'config': 'endivetally.commands.config',
+        'status': 'endivetally.commands.status',
+        'report': 'endivetally.commands.report',
+        'demo': 'endivetally.demo.command',
+        'bench': 'endivetally.bench.command',
+        'capacity': 'endivetally.commands.capacity',
+        'scenario': 'endivetally.scenarios.command',
     },
 )
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, imported when they are called."""
--- a/libs/endivetally/src/endivetally/cli_common.py
+++ b/libs/endivetally/src/endivetally/commands/common.py
@@ -15,7 +15,7 @@
 from endivetally_core.errors import RequestError
 from endivetally_core.joining import Address
 
-from endivetally.cli_client import EntryUnreachable
+from endivetally.commands.client import EntryUnreachable
 
 TOKEN_VARIABLE = 'ENDIVETALLY_TOKEN'
 ENTRY_VARIABLE = 'ENDIVETALLY_ENTRY'
--- a/libs/endivetally/src/endivetally/cli_config.py
+++ b/libs/endivetally/src/endivetally/commands/config.py
@@ -15,17 +15,17 @@
 from rich.console import Console
 from rich.table import Table
 
-from endivetally.cli_client import DEFAULT_TIMEOUT_S
-from endivetally.cli_client import OperatorClient
-from endivetally.cli_common import EntryOption
-from endivetally.cli_common import ExitCode
-from endivetally.cli_common import JsonOption
-from endivetally.cli_common import TimeoutOption
-from endivetally.cli_common import TokenFileOption
-from endivetally.cli_common import TokenOption
-from endivetally.cli_common import exit_on_errors
-from endivetally.cli_common import print_json
-from endivetally.cli_common import read_token
+from endivetally.commands.client import DEFAULT_TIMEOUT_S
+from endivetally.commands.client import OperatorClient
+from endivetally.commands.common import EntryOption
+from endivetally.commands.common import ExitCode
+from endivetally.commands.common import JsonOption
+from endivetally.commands.common import TimeoutOption
+from endivetally.commands.common import TokenFileOption
+from endivetally.commands.common import TokenOption
+from endivetally.commands.common import exit_on_errors
+from endivetally.commands.common import print_json
+from endivetally.commands.common import read_token
 
 TextArgument = Annotated[
     pathlib.Path,
--- a/libs/endivetally/src/endivetally/cli_report.py
+++ b/libs/endivetally/src/endivetally/commands/report.py
@@ -10,21 +10,21 @@
 from endivetally_core.joining import Address
 from rich.console import Console
 
-from endivetally.burn import BurnReport
-from endivetally.burn import build_report
-from endivetally.burn_page import render_page
-from endivetally.burn_table import render_table
-from endivetally.cli_client import DEFAULT_TIMEOUT_S
-from endivetally.cli_client import OperatorClient
-from endivetally.cli_common import ENTRY_VARIABLE
-from endivetally.cli_common import JsonOption
-from endivetally.cli_common import TimeoutOption
-from endivetally.cli_common import TokenFileOption
-from endivetally.cli_common import TokenOption
-from endivetally.cli_common import exit_on_errors
-from endivetally.cli_common import parse_address
-from endivetally.cli_common import print_json
-from endivetally.cli_common import read_token
+from endivetally.burn.page import render_page
+from endivetally.burn.report import BurnReport
+from endivetally.burn.report import build_report
+from endivetally.burn.table import render_table
+from endivetally.commands.client import DEFAULT_TIMEOUT_S
+from endivetally.commands.client import OperatorClient
+from endivetally.commands.common import ENTRY_VARIABLE
+from endivetally.commands.common import JsonOption
+from endivetally.commands.common import TimeoutOption
+from endivetally.commands.common import TokenFileOption
+from endivetally.commands.common import TokenOption
+from endivetally.commands.common import exit_on_errors
+from endivetally.commands.common import parse_address
+from endivetally.commands.common import print_json
+from endivetally.commands.common import read_token
 
 EntriesOption = Annotated[
     list[Address],
--- a/libs/endivetally/src/endivetally/cli_serve.py
+++ b/libs/endivetally/src/endivetally/commands/serve.py
@@ -9,7 +9,7 @@
 from endivetally_config.settings import AgentSettings
 from endivetally_config.settings import EntrySettings
 
-from endivetally.cli_common import exit_on_errors
+from endivetally.commands.common import exit_on_errors
 
 SettingsOption = Annotated[
     pathlib.Path,
--- /dev/null
+++ b/libs/endivetally/src/endivetally/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration on loopback."""
--- a/libs/endivetally/src/endivetally/demo_input.py
+++ b/libs/endivetally/src/endivetally/demo/input.py
@@ -8,7 +8,7 @@
 from endivetally_config.text import Service
 from endivetally_core.errors import EndivetallyError
 
-from endivetally.load_mix import Arrival
+from endivetally.load.mix import Arrival
 
 DEMO_SECONDS: Final = 8
 
--- a/libs/endivetally/src/endivetally/demo_report.py
+++ b/libs/endivetally/src/endivetally/demo/report.py
@@ -5,10 +5,10 @@
 
 from rich.table import Table
 
-from endivetally.bench_messages import MessageCosts
-from endivetally.load_answers import Verdict
-from endivetally.load_report import KindReport
-from endivetally.load_report import StartReport
+from endivetally.bench.messages import MessageCosts
+from endivetally.load.answers import Verdict
+from endivetally.load.report import KindReport
+from endivetally.load.report import StartReport
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/endivetally/src/endivetally/fleet_client.py
+++ b/libs/endivetally/src/endivetally/fleet/client.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
 
-from endivetally.fleet_process import FleetError
+from endivetally.fleet.process import FleetError
 
 CALL_TIMEOUT_S: Final = 5
 _HTTP_OK: Final = 200
--- a/libs/endivetally/src/endivetally/fleet_commands.py
+++ b/libs/endivetally/src/endivetally/fleet/commands.py
@@ -9,11 +9,11 @@
 from endivetally_config.settings import EntrySettings
 from endivetally_core.joining import Address
 
-from endivetally.fleet_deployment import OPERATOR_TOKEN
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_deployment import EntryPlace
-from endivetally.fleet_deployment import Worker
-from endivetally.fleet_group import ProcessGroup
+from endivetally.fleet.deployment import OPERATOR_TOKEN
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.deployment import EntryPlace
+from endivetally.fleet.deployment import Worker
+from endivetally.fleet.group import ProcessGroup
 
 TABLE: Final = 'table'
 
--- a/libs/endivetally/src/endivetally/fleet.py
+++ b/libs/endivetally/src/endivetally/fleet/fleet.py
@@ -16,19 +16,19 @@
 from endivetally_core.joining import Address
 from endivetally_core.status import EntryStatus
 
-from endivetally.fleet_client import FleetClient
-from endivetally.fleet_commands import TABLE
-from endivetally.fleet_commands import agent_arguments
-from endivetally.fleet_commands import entry_arguments
-from endivetally.fleet_commands import table_arguments
-from endivetally.fleet_commands import target_arguments
-from endivetally.fleet_deployment import OPERATOR_TOKEN
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_deployment import EntryPlace
-from endivetally.fleet_deployment import Worker
-from endivetally.fleet_group import ProcessGroup
-from endivetally.fleet_process import FleetError
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.client import FleetClient
+from endivetally.fleet.commands import TABLE
+from endivetally.fleet.commands import agent_arguments
+from endivetally.fleet.commands import entry_arguments
+from endivetally.fleet.commands import table_arguments
+from endivetally.fleet.commands import target_arguments
+from endivetally.fleet.deployment import OPERATOR_TOKEN
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.deployment import EntryPlace
+from endivetally.fleet.deployment import Worker
+from endivetally.fleet.group import ProcessGroup
+from endivetally.fleet.process import FleetError
+from endivetally.fleet.process import FleetProcess
 
 __all__ = ('Fleet', 'FleetError', 'FleetProcess')
 
--- a/libs/endivetally/src/endivetally/fleet_group.py
+++ b/libs/endivetally/src/endivetally/fleet/group.py
@@ -7,8 +7,8 @@
 
 from endivetally_core.joining import Address
 
-from endivetally.fleet_process import FleetError
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.process import FleetError
+from endivetally.fleet.process import FleetProcess
 
 LOOPBACK: Final = '127.0.0.1'
 
--- /dev/null
+++ b/libs/endivetally/src/endivetally/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load and the check of its answers."""
--- a/libs/endivetally/src/endivetally/load_answers.py
+++ b/libs/endivetally/src/endivetally/load/answers.py
@@ -7,7 +7,7 @@
 from endivetally_config.text import ServiceKind
 from endivetally_core.errors import RunState
 
-from endivetally.load_mix import Arrival
+from endivetally.load.mix import Arrival
 
 _HTTP_OK: Final = 200
 
--- a/libs/endivetally/src/endivetally/load_floor.py
+++ b/libs/endivetally/src/endivetally/load/floor.py
@@ -8,12 +8,12 @@
 import heapq
 from typing import Final
 
-from endivetally.load_mix import Arrival
-from endivetally.load_report import RATIO_SCALE
-from endivetally.load_report import Percentiles
-from endivetally.load_report import ideal_ms
-from endivetally.load_report import new_histogram
-from endivetally.load_report import percentiles
+from endivetally.load.mix import Arrival
+from endivetally.load.report import RATIO_SCALE
+from endivetally.load.report import Percentiles
+from endivetally.load.report import ideal_ms
+from endivetally.load.report import new_histogram
+from endivetally.load.report import percentiles
 
 _MS_PER_S: Final = 1000
 
--- a/libs/endivetally/src/endivetally/load.py
+++ b/libs/endivetally/src/endivetally/load/generator.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from endivetally.fleet_process import FleetError
-from endivetally.load_mix import Arrival
-from endivetally.load_worker import LoadPlan
-from endivetally.load_worker import LoadRecord
+from endivetally.fleet.process import FleetError
+from endivetally.load.mix import Arrival
+from endivetally.load.worker import LoadPlan
+from endivetally.load.worker import LoadRecord
 
 REQUESTS_PER_S_PER_WORKER: Final = 150
 MAX_WORKERS: Final = 4
@@ -82,7 +82,7 @@
             arrivals=arrivals,
         )
         plan_file.write_bytes(msgspec.json.encode(plan))
-        await _run_python('endivetally.load_worker', str(plan_file), str(records_file))
+        await _run_python('endivetally.load.worker', str(plan_file), str(records_file))
         return msgspec.json.decode(records_file.read_bytes(), type=list[LoadRecord])
 
 
--- a/libs/endivetally/src/endivetally/load_report.py
+++ b/libs/endivetally/src/endivetally/load/report.py
@@ -9,10 +9,10 @@
 from endivetally_config.text import ServiceKind
 from hdrh.histogram import HdrHistogram
 
-from endivetally.load_answers import Verdict
-from endivetally.load_answers import task_ids
-from endivetally.load_mix import Arrival
-from endivetally.load_worker import LoadRecord
+from endivetally.load.answers import Verdict
+from endivetally.load.answers import task_ids
+from endivetally.load.mix import Arrival
+from endivetally.load.worker import LoadRecord
 
 RATIO_SCALE: Final = 1000
 _MS_SCALE: Final = 100
--- a/libs/endivetally/src/endivetally/load_wire.py
+++ b/libs/endivetally/src/endivetally/load/wire.py
@@ -5,10 +5,10 @@
 from endivetally_config.text import ServiceKind
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_process import FleetError
-from endivetally.load import LoadGenerator
-from endivetally.load_answers import Verdict
-from endivetally.load_mix import Arrival
+from endivetally.fleet.process import FleetError
+from endivetally.load.answers import Verdict
+from endivetally.load.generator import LoadGenerator
+from endivetally.load.mix import Arrival
 
 WIRE_PROBES: Final = 30
 WIRE_PROBE_RUN_MS: Final = 20
--- a/libs/endivetally/src/endivetally/plots.py
+++ b/libs/endivetally/src/endivetally/plots.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Final
 
-from endivetally.bench_report import RunReport
+from endivetally.bench.report import RunReport
 
 _QUANTILES: Final = ('p50', 'p99', 'p99.9')
 _FIGURE_INCHES: Final = (11, 4)
--- a/libs/endivetally/src/endivetally/scenarios/caller_steps.py
+++ b/libs/endivetally/src/endivetally/scenarios/caller_steps.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from endivetally.load_mix import Arrival
+from endivetally.load.mix import Arrival
 from endivetally.scenarios.selectors import select_one
 from endivetally.scenarios.stage import Stage
 from endivetally.scenarios.steps import Selector
--- a/libs/endivetally/src/endivetally/scenarios/deployment.py
+++ b/libs/endivetally/src/endivetally/scenarios/deployment.py
@@ -7,10 +7,10 @@
 from endivetally_config.text import ServiceKind
 from endivetally_config.text import Team
 
-from endivetally.fleet_deployment import UNLIMITED_TASKS_PER_S
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_deployment import place_entries
-from endivetally.fleet_deployment import place_workers
+from endivetally.fleet.deployment import UNLIMITED_TASKS_PER_S
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.deployment import place_entries
+from endivetally.fleet.deployment import place_workers
 
 LATENCY_MS: Final = 1
 DEADLINE_MS: Final = 10_000
--- a/libs/endivetally/src/endivetally/scenarios/language.py
+++ b/libs/endivetally/src/endivetally/scenarios/language.py
@@ -10,7 +10,7 @@
 from lark.exceptions import LarkError
 from lark.exceptions import VisitError
 
-from endivetally.fleet_deployment import Deployment
+from endivetally.fleet.deployment import Deployment
 from endivetally.scenarios.steps import Step
 from endivetally.scenarios.syntax import ScenarioBuilder
 
--- a/libs/endivetally/src/endivetally/scenarios/network.py
+++ b/libs/endivetally/src/endivetally/scenarios/network.py
@@ -9,7 +9,7 @@
 from endivetally_core.shaping import ShapingRule
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_client import ProcessUnreachable
+from endivetally.fleet.client import ProcessUnreachable
 from endivetally.scenarios.places import Places
 
 ENDING_TIMEOUT_S: Final = 10
--- a/libs/endivetally/src/endivetally/scenarios/places.py
+++ b/libs/endivetally/src/endivetally/scenarios/places.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_deployment import Worker
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.deployment import Worker
 from endivetally.scenarios.steps import StepFailed
 
 
--- a/libs/endivetally/src/endivetally/scenarios/process_steps.py
+++ b/libs/endivetally/src/endivetally/scenarios/process_steps.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.process import FleetProcess
 from endivetally.scenarios.stage import Stage
 from endivetally.scenarios.steps import Selector
 from endivetally.scenarios.steps import Step
--- a/libs/endivetally/src/endivetally/scenarios/stage.py
+++ b/libs/endivetally/src/endivetally/scenarios/stage.py
@@ -15,8 +15,8 @@
 from endivetally_table.shards import SHARD_COUNT
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_deployment import Deployment
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.deployment import Deployment
+from endivetally.fleet.process import FleetProcess
 from endivetally.scenarios.callers import Callers
 from endivetally.scenarios.network import Network
 from endivetally.scenarios.places import Places
--- a/libs/endivetally/src/endivetally/scenarios/syntax.py
+++ b/libs/endivetally/src/endivetally/scenarios/syntax.py
@@ -9,8 +9,8 @@
 from lark import Transformer
 from lark import v_args
 
-from endivetally.fleet_deployment import Deployment
-from endivetally.load_answers import Verdict
+from endivetally.fleet.deployment import Deployment
+from endivetally.load.answers import Verdict
 from endivetally.scenarios import caller_steps
 from endivetally.scenarios import expectations
 from endivetally.scenarios import fault_steps
--- a/libs/endivetally/src/endivetally/scenarios/texts.py
+++ b/libs/endivetally/src/endivetally/scenarios/texts.py
@@ -17,9 +17,9 @@
 from tornado.httpclient import HTTPRequest
 
 from endivetally.fleet import Fleet
-from endivetally.fleet_client import ProcessUnreachable
-from endivetally.fleet_deployment import OPERATOR_TOKEN
-from endivetally.fleet_process import FleetProcess
+from endivetally.fleet.client import ProcessUnreachable
+from endivetally.fleet.deployment import OPERATOR_TOKEN
+from endivetally.fleet.process import FleetProcess
 
 LOOK_INTERVAL_S: Final = 0.2
 SUBMIT_TIMEOUT_S: Final = 30
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 from endivetally.fleet import Fleet
-from endivetally.fleet_commands import TABLE
-from endivetally.fleet_deployment import DEMO
-from endivetally.fleet_deployment import LOGBOOK
-from endivetally.fleet_group import ProcessGroup
-from endivetally.fleet_process import FleetError
+from endivetally.fleet.commands import TABLE
+from endivetally.fleet.deployment import DEMO
+from endivetally.fleet.deployment import LOGBOOK
+from endivetally.fleet.group import ProcessGroup
+from endivetally.fleet.process import FleetError
 from endivetally_core.shaping import ShapingRule
 
 
--- a/tests/bench/test_load_mix.py
+++ b/tests/bench/test_load_mix.py
@@ -3,15 +3,15 @@
 import random
 
 import pytest
-from endivetally.bench_mix import request_kinds
-from endivetally.fleet_deployment import DEPLOYMENTS
-from endivetally.fleet_deployment import LOVDATA
-from endivetally.fleet_deployment import Deployment
-from endivetally.load import workers_for
-from endivetally.load_mix import Arrival
-from endivetally.load_mix import Bursts
-from endivetally.load_mix import RunTimes
-from endivetally.load_mix import plan_arrivals
+from endivetally.bench.mix import request_kinds
+from endivetally.fleet.deployment import DEPLOYMENTS
+from endivetally.fleet.deployment import LOVDATA
+from endivetally.fleet.deployment import Deployment
+from endivetally.load.generator import workers_for
+from endivetally.load.mix import Arrival
+from endivetally.load.mix import Bursts
+from endivetally.load.mix import RunTimes
+from endivetally.load.mix import plan_arrivals
 
 
 def plan(seed: int, load: float = 0.8, seconds: float = 200) -> list[Arrival]:
--- a/tests/bench/test_load_report.py
+++ b/tests/bench/test_load_report.py
@@ -1,15 +1,15 @@
 """Verdicts on answers, and the sums made of them."""
 
 import pytest
-from endivetally.load_answers import CheckedAnswer
-from endivetally.load_answers import Verdict
-from endivetally.load_answers import check_answer
-from endivetally.load_floor import floor_ratios
-from endivetally.load_mix import Arrival
-from endivetally.load_report import report_kind
-from endivetally.load_report import report_starts
-from endivetally.load_report import tasks_whole_within
-from endivetally.load_worker import LoadRecord
+from endivetally.load.answers import CheckedAnswer
+from endivetally.load.answers import Verdict
+from endivetally.load.answers import check_answer
+from endivetally.load.floor import floor_ratios
+from endivetally.load.mix import Arrival
+from endivetally.load.report import report_kind
+from endivetally.load.report import report_starts
+from endivetally.load.report import tasks_whole_within
+from endivetally.load.worker import LoadRecord
 from endivetally_config.text import ServiceKind
 
 LOOKUP = Arrival(0, 'lookups', ServiceKind.IDEMPOTENT, 'l', [100])
--- a/tests/bench/test_load_worker.py
+++ b/tests/bench/test_load_worker.py
@@ -4,11 +4,11 @@
 from collections.abc import AsyncIterator
 
 import pytest_asyncio
-from endivetally.load_answers import Verdict
-from endivetally.load_mix import Arrival
-from endivetally.load_worker import Caller
-from endivetally.load_worker import LoadPlan
-from endivetally.load_worker import LoadRecord
+from endivetally.load.answers import Verdict
+from endivetally.load.mix import Arrival
+from endivetally.load.worker import Caller
+from endivetally.load.worker import LoadPlan
+from endivetally.load.worker import LoadRecord
 from endivetally_config.text import ServiceKind
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
--- a/tests/bench/test_messages.py
+++ b/tests/bench/test_messages.py
@@ -1,8 +1,8 @@
 """Counting of messages and the ratios made of them."""
 
 import pytest
-from endivetally.bench_messages import message_costs
-from endivetally.bench_messages import parse_messages
+from endivetally.bench.messages import message_costs
+from endivetally.bench.messages import parse_messages
 
 EXPOSITION = """\
 # HELP endivetally_messages_total Messages sent.
--- a/tests/cli/test_burn.py
+++ b/tests/cli/test_burn.py
@@ -3,11 +3,11 @@
 import xml.etree.ElementTree as ElementTree
 
 import pytest
-from endivetally.burn import PERIOD_S
-from endivetally.burn import Alert
-from endivetally.burn import build_report
-from endivetally.burn_page import render_page
-from endivetally.burn_table import render_table
+from endivetally.burn.page import render_page
+from endivetally.burn.report import PERIOD_S
+from endivetally.burn.report import Alert
+from endivetally.burn.report import build_report
+from endivetally.burn.table import render_table
 from endivetally_core.burn import BurnBucket
 from endivetally_core.burn import BurnSnapshot
 from endivetally_core.burn import ServiceBurn
--- a/tests/scenario/test_language.py
+++ b/tests/scenario/test_language.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 
 import pytest
-from endivetally.load_answers import CheckedAnswer
-from endivetally.load_answers import Verdict
-from endivetally.load_mix import Arrival
+from endivetally.load.answers import CheckedAnswer
+from endivetally.load.answers import Verdict
+from endivetally.load.mix import Arrival
 from endivetally.scenarios import ScenarioInvalid
 from endivetally.scenarios import caller_steps
 from endivetally.scenarios import expectations
