Bound identities and codes from the network; end the wait for an odd answer

A Forwarded with an unknown code raised in the receive loop and its caller waited for ever; slots and sizes of announcements and reasons of outcomes had no upper bound. Ruled out: dropping such an answer; the caller must hear something at once. Conclusion: unknown codes count as internal; bounds stand in the field types.

--- a/libs/endivetally-core/src/endivetally_core/joining.py
+++ b/libs/endivetally-core/src/endivetally_core/joining.py
@@ -13,6 +13,9 @@
 from endivetally_core.messages import Identifier
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+Connections = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Megabytes = Annotated[int, msgspec.Meta(ge=0, le=16_000_000)]
 
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -67,9 +70,9 @@
     data_centre: Identifier
     rack: Identifier
     service: Identifier
-    slots: int
-    connections: int
-    memory_mb: int
+    slots: Slots
+    connections: Connections
+    memory_mb: Megabytes
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
@@ -105,9 +108,9 @@
     """
 
     service: Identifier
-    port: int
-    slots: int
-    connections: int
-    memory_mb: int
-    used_memory_mb: int = 0
+    port: Port
+    slots: Slots
+    connections: Connections
+    memory_mb: Megabytes
+    used_memory_mb: Megabytes = 0
     leaving: bool = False
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -20,6 +20,7 @@
 MAX_PAYLOAD_BYTES: Final = 1024 * 1024
 
 Identifier = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Code = Annotated[str, msgspec.Meta(max_length=512)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 Sequence = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -57,7 +58,7 @@
     payload: bytes
     deadline_ms: Count
     waiting: Count = 0
-    pool: str = ''
+    pool: Code = ''
     priority: Count = 0
     borrowed: bool = False
 
@@ -80,7 +81,7 @@
 
     name: TaskName
     status: Identifier
-    reason: str = ''
+    reason: Code = ''
     body: bytes = b''
     run_ms: float = 0
     credits: Count = 0
@@ -213,7 +214,7 @@
     forward_id: Sequence
     team: Identifier
     service: Identifier
-    key: str
+    key: Code
     tasks: list[bytes]
     deadline_ms: Count
     cancel: bool = False
--- a/libs/endivetally-entry/src/endivetally_entry/forwards.py
+++ b/libs/endivetally-entry/src/endivetally_entry/forwards.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import EndivetallyError
@@ -21,6 +22,7 @@
 MISDIRECTED_STATUS = 421
 NEVER_STARTED_STATUS = 410
 CODE_HEADER = 'X-Code'
+KINDS = MappingProxyType({kind.value: kind for kind in ErrorKind})
 
 
 class NeverStarted(EndivetallyError):
@@ -92,8 +94,7 @@
             return
         headers = dict(message.headers)
         code = headers.pop(CODE_HEADER, '')
-        kind = ErrorKind(code) if code else None
-        future.set_result(Answer(message.status, message.body, kind, headers))
+        future.set_result(Answer(message.status, message.body, _kind(code), headers))
 
     def link_lost(self, owner: str) -> None:
         """End the forwards to an entry whose last link has ended."""
@@ -117,3 +118,10 @@
 def misdirected(forward_id: int) -> Forwarded:
     """Build the message that says that this entry does not own the key."""
     return Forwarded(forward_id, MISDIRECTED_STATUS, {}, b'')
+
+
+def _kind(code: str) -> ErrorKind | None:
+    """Return the kind of a code; a peer's unknown one counts as internal."""
+    if not code:
+        return None
+    return KINDS.get(code, ErrorKind.INTERNAL)
--- /dev/null
+++ b/tests/core/test_bounds.py
@@ -0,0 +1,54 @@
+"""Bounds of what comes from the network."""
+
+import msgspec
+import pytest
+from endivetally_core.errors import MalformedMessage
+from endivetally_core.joining import Announcement
+from endivetally_core.messages import Dispatch
+from endivetally_core.messages import Frame
+from endivetally_core.messages import Outcome
+from endivetally_core.messages import TaskName
+from endivetally_core.messages import decode_frame
+from endivetally_core.messages import encode_frame
+
+NAME = TaskName('entry-1.1', 1, 0, 0)
+ANNOUNCEMENT = {
+    'service': 's',
+    'port': 1,
+    'slots': 8,
+    'connections': 64,
+    'memory_mb': 1,
+}
+
+
+class TestAnnouncement:
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'slots': -1},
+            {'slots': 10**9},
+            {'connections': 0},
+            {'memory_mb': -1},
+            {'port': 65_536},
+            {'service': ''},
+        ],
+    )
+    def test_out_of_bounds(self, fields):
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.convert({**ANNOUNCEMENT, **fields}, Announcement)
+
+
+class TestFrame:
+    @pytest.mark.parametrize(
+        'message',
+        [
+            Outcome(NAME, 'refused', 'x' * 513),
+            Outcome(NAME, '', ''),
+            Dispatch(NAME, 's', 'job', b'', -1),
+            Dispatch(NAME, 's', 'job', b'', 1, pool='x' * 513),
+            Outcome(TaskName('x' * 129, 1, 0, 0), 'done'),
+        ],
+    )
+    def test_out_of_bounds(self, message):
+        with pytest.raises(MalformedMessage):
+            decode_frame(encode_frame(Frame(0, [message])))
