--- a/libs/endivetally-entry/src/endivetally_entry/ledger.py
+++ b/libs/endivetally-entry/src/endivetally_entry/ledger.py
@@ -14,8 +14,6 @@
 from endivetally_entry.requests import KeyName
 from endivetally_entry.requests import error_answer
 
-LOST = ErrorKind.ANSWER_LOST
-
 
 @dataclass(slots=True)
 class KeyRecord:
@@ -148,7 +146,8 @@
             dropped = self._bodies.popleft()
             self._forget_body(dropped)
             self.dropped_bodies += 1
-            dropped.answer = _answered(error_answer(RequestError(LOST)))
+            lost = RequestError(ErrorKind.ANSWER_LOST)
+            dropped.answer = _answered(error_answer(lost))
 
     def _forget_body(self, record: KeyRecord) -> None:
         self._body_bytes -= len(record.answer.result().body)
