--- a/libs/endivetally/src/endivetally/status.py
+++ b/libs/endivetally/src/endivetally/status.py
@@ -22,14 +22,14 @@
 
 
 def _render_services(services: list[ServiceStatus]) -> Table:
-    table = Table('service', 'waiting', 'running')
+    table = Table('pool', 'waiting', 'running')
     for service in sorted(services, key=lambda each: each.service):
         table.add_row(service.service, str(service.waiting), str(service.running))
     return table
 
 
 def _render_targets(targets: list[TargetStatus]) -> Table:
-    table = Table('target', 'service', 'data centre', 'rack', 'state', 'slots', 'MB')
+    table = Table('target', 'pool', 'data centre', 'rack', 'state', 'slots', 'MB')
     for target in sorted(targets, key=lambda each: each.agent):
         table.add_row(
             target.agent,
