--- a/libs/endivetally/src/endivetally/capacity/remedies.py
+++ b/libs/endivetally/src/endivetally/capacity/remedies.py
@@ -60,8 +60,8 @@
 def remedy_for(quantity: str) -> str:
     """Return the remedy of a quantity.
 
-    >>> remedy_for('journal writes, all work in jobs of 10 tasks')[:9]
-    'one write'
+    >>> remedy_for('journal writes, all work in jobs of 10 tasks')[:11]
+    'built after'
     """
     for start, remedy in REMEDIES.items():
         if quantity.startswith(start):
