Remove a twin and a dead method that merges left behind

Found by a search for names that occur once. Ruled out: callers in tests or pages; there are none. Before and after: no behaviour; formatter, lint, types and 235 tests of entry, agent and core pass. Conclusion: serves_every_pool stays.

--- a/libs/endivetally-agent/src/endivetally_agent/records.py
+++ b/libs/endivetally-agent/src/endivetally_agent/records.py
@@ -185,12 +185,6 @@
             self._drop(self._requests[name.owner, name.sequence])
         self.trim()
 
-    def requests_of(self, owner: str) -> list[RequestRecord]:
-        """Return the records of one owner's requests."""
-        return [
-            request for request in self._requests.values() if request.owner == owner
-        ]
-
     def unsettled(self) -> Iterator[RequestRecord]:
         """Yield requests with an outcome that the owner may still need."""
         for request in self._requests.values():
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -145,11 +145,6 @@
         ]
         return [row.identity for row in rows if row.state == 'live']
 
-    def has_targets(self) -> bool:
-        """Return whether every pool of the text has a target that takes work."""
-        pools = self.keeper.text.pools
-        return bool(pools) and all(self.scheduler.capacity(pool) for pool in pools)
-
     def serves_every_pool(self) -> bool:
         """Return whether a target of each pool takes work from here."""
         pools = self.keeper.text.pools
