Serve the users' platform with held jobs: first whole path

Cause: the product had no path for jobs that are held in memory and answered at their end, and nothing that speaks the platform's protocol. Change: endivetally-held (entry, agent, sessions, directory) with its decisions in endivetally_policy.held, and platform/ with the store, worker and caller sides. Ruled out: pair sockets a link for this path, since many entries share one port. Before: no path.

--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Puts the libraries of the two programs and what they need under target/deps.
+set -eu
+mark=target/.requirements
+if [ ! -f "$mark" ] || ! cmp -s deploy/requirements.txt "$mark"; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --disable-pip-version-check --no-deps \
+        --target target/deps -r deploy/requirements.txt
+    cp deploy/requirements.txt "$mark"
+fi
+for library in core config table policy held; do
+    rm -rf "target/deps/endivetally_$library"
+    cp -R "libs/endivetally-$library/src/endivetally_$library" target/deps/
+done
+rm -rf target/deps/endivetally_platform
+cp -R platform/src/endivetally_platform target/deps/
--- a/libs/endivetally-config/src/endivetally_config/text.py
+++ b/libs/endivetally-config/src/endivetally_config/text.py
@@ -16,6 +16,8 @@
 Rate = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Weight = Annotated[int, msgspec.Meta(ge=1, le=1000)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=9)]
+Attempts = Annotated[int, msgspec.Meta(ge=1, le=100)]
+Stretch = Annotated[float, msgspec.Meta(ge=1, le=100)]
 
 
 class ServiceKind(enum.StrEnum):
@@ -47,6 +49,10 @@
     :param priority: lower numbers are served first within a pool, from 0.
     :param pool: name that the targets of the service announce; several services
         may share one. By default the name of the service.
+    :param attempts: a task of a held job that failed so often by its own fault
+        fails the job.
+    :param stretch: a held job is in time within so many times its longest chain
+        of run times, and the objective's response time more.
     """
 
     name: Name
@@ -58,6 +64,8 @@
     priority: Priority = 1
     objective: Objective = Objective()
     pool: Name | None = None
+    attempts: Attempts = 3
+    stretch: Stretch = 2.0
 
     @property
     def target_pool(self) -> str:
--- /dev/null
+++ b/libs/endivetally-held/src/endivetally_held/__init__.py
@@ -0,0 +1,19 @@
+"""Jobs that are held in memory and answered when their last task has ended."""
+
+from endivetally_held.agent import HeldAgent
+from endivetally_held.entry import HeldEntry
+from endivetally_held.jobs import HeldJob
+from endivetally_held.jobs import JobAnswer
+from endivetally_held.jobs import Result
+from endivetally_held.jobs import Step
+from endivetally_held.jobs import TaskKey
+
+__all__ = (
+    'HeldAgent',
+    'HeldEntry',
+    'HeldJob',
+    'JobAnswer',
+    'Result',
+    'Step',
+    'TaskKey',
+)
--- /dev/null
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -0,0 +1,479 @@
+"""The entry of the held path: wires queue, placing, refusing and links."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from typing import Final
+from typing import Self
+
+from endivetally_config.text import OperatorsText
+from endivetally_config.text import Service
+from endivetally_config.text import VersionedText
+from endivetally_core.clock import PauseWatch
+from endivetally_core.clock import steady_now
+from endivetally_core.events import Event
+from endivetally_core.events import EventLog
+from endivetally_policy.held import ExpectedTimes
+from endivetally_policy.held import HeldAdmission
+from endivetally_policy.held import Load
+from endivetally_policy.held import NextStep
+from endivetally_policy.held import RunEnd
+from endivetally_policy.held import Verdict
+from endivetally_policy.held import choose_agent
+from endivetally_policy.held import next_step
+from endivetally_policy.held.attempts import NEVER_RAN
+from endivetally_table.table import Row
+
+from endivetally_held.agent_links import AgentLinks
+from endivetally_held.agent_links import AgentListener
+from endivetally_held.agent_links import AgentPeer
+from endivetally_held.channel import HEARTBEAT_S
+from endivetally_held.channel import SILENCE_LIMIT_S
+from endivetally_held.holding import HeldTask
+from endivetally_held.holding import Holding
+from endivetally_held.holding import TaskState
+from endivetally_held.jobs import HeldJob
+from endivetally_held.jobs import JobAnswer
+from endivetally_held.jobs import Result
+from endivetally_held.measures import EntryMeasures
+from endivetally_held.messages import Alive
+from endivetally_held.messages import RunEnded
+from endivetally_held.messages import RunOrder
+from endivetally_held.session import LEASE_MARGIN
+from endivetally_held.session import LEASE_MS
+
+TICK_S: Final = 0.025
+# After the end of a link its agent stops our runs once it has heard nothing for
+# the silence limit; if it then stands still too, their lease ends. The rest is
+# for looks at clocks and the stop itself.
+RERUN_WAIT_S: Final = SILENCE_LIMIT_S + LEASE_MS / 1000 * LEASE_MARGIN + 0.3
+# Delay before a refused task is sent again.
+REFUSED_DELAY_S: Final = 0.02
+# Answers leave this long before the caller's deadline.
+ANSWER_TIME_S: Final = 0.03
+# A job is late, and of little use, beyond so many times its objective.
+LATE_FACTOR: Final = 3
+# While draining, a job is taken if so many times its run time is left.
+DRAIN_FACTOR: Final = 1.5
+NO_AGENT_RETRY_S: Final = 1
+# Ended jobs whose run numbers are remembered: 20 s at 100 jobs a second; a copy
+# of a job arrives within a few seconds of its end.
+REMEMBERED_JOBS: Final = 2000
+
+
+class HeldEntry(AgentListener):
+    """Takes held jobs and answers each when its last task has ended.
+
+    :param incarnation: name of this start of the process.
+    :param seed: of the spread of returning callers.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        data_centre: str,
+        events: EventLog,
+        measures: EntryMeasures,
+        clock: Callable[[], float] = steady_now,
+        seed: int | None = None,
+    ) -> None:
+        self.text = VersionedText(0, OperatorsText((), ()))
+        self.links = AgentLinks(incarnation, data_centre, self, events, clock)
+        self._data_centre = data_centre
+        self._events = events
+        self._measures = measures
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._pauses = PauseWatch(clock=clock)
+        self._expected = ExpectedTimes()
+        self._admission = HeldAdmission()
+        self._holdings: dict[str, Holding] = {}
+        self._next_runs: dict[str, int] = {}
+        self._drain_until: float | None = None
+        self._placing_due = False
+        self._stack = AsyncExitStack()
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs without an answer."""
+        return len(self._holdings)
+
+    async def __aenter__(self) -> Self:
+        """Start the periodic work."""
+        self._stack.callback(self.links.close)
+        ticker = asyncio.ensure_future(self._tick())
+        self._stack.callback(ticker.cancel)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """End the links."""
+        await self._stack.aclose()
+
+    def set_text(self, text: VersionedText) -> bool:
+        """Put a text in force, unless it is older than the one in force."""
+        if text.version <= self.text.version:
+            return False
+        self.text = text
+        self._events.emit(
+            Event.TEXT_IN_FORCE,
+            version=text.version,
+            services=len(text.text.services),
+        )
+        return True
+
+    def set_rows(self, rows: dict[str, Row]) -> None:
+        """Take in the directory of agents."""
+        self.links.set_rows(rows)
+
+    def unready_reason(self) -> str:
+        """Return why no callers should be sent here, or nothing."""
+        if self._drain_until is not None:
+            return 'draining'
+        if self.text.version == 0:
+            return 'no_text'
+        return '' if self.links.peers else 'no_agent'
+
+    def pending(self, service: str) -> int:
+        """Return the number of jobs of which no task was sent."""
+        return sum(
+            holding.service.name == service and not holding.begun
+            for holding in self._holdings.values()
+        )
+
+    async def submit(self, job: HeldJob) -> JobAnswer:
+        """Run a job and return its answer.
+
+        A cancelled call abandons the job, unless another call waits for it.
+        """
+        holding = self._holdings.get(job.identifier)
+        if holding is None:
+            service = self.text.text.service(job.service)
+            if service is None:
+                return JobAnswer(Result.REFUSED, 'no_service', NO_AGENT_RETRY_S)
+            holding = Holding(job, service, self._expected, self._clock())
+            refusal = self._refusal(holding)
+            if refusal is not None:
+                self._measures.answered(holding, refusal, 0)
+                return refusal
+            self._number_runs(holding)
+            self._holdings[job.identifier] = holding
+            self._place_soon()
+        return await self._wait(holding)
+
+    def agent_changed(self, peer: AgentPeer) -> None:
+        """Use the room that an agent told."""
+        self._place_soon()
+
+    def attempt_ended(self, peer: AgentPeer, ended: RunEnded) -> None:
+        """Take in the end of an attempt."""
+        holding = self._holdings.get(ended.task.job)
+        task = holding.tasks.get(ended.task) if holding else None
+        if holding is None or task is None:
+            return
+        current = task.state is TaskState.SENT and task.run == ended.run
+        if current and task.agent == peer.name:
+            self._end_attempt(holding, task, ended.end, ended.run_ms / 1000)
+
+    def agent_lost(self, peer: AgentPeer) -> None:
+        """Run its tasks elsewhere once nothing of them can be left."""
+        for key in peer.tasks:
+            holding = self._holdings.get(key.job)
+            task = holding.tasks.get(key) if holding else None
+            if holding is None or task is None or task.agent != peer.name:
+                continue
+            if task.state is TaskState.SENT:
+                self._end_attempt(holding, task, RunEnd.UNREACHABLE, 0)
+
+    async def drain(self, limit_s: float) -> None:
+        """Answer what is open, for a time at most."""
+        self._drain_until = self._clock() + limit_s
+        while self._holdings and self._clock() < self._drain_until:
+            await asyncio.sleep(TICK_S)
+        for holding in list(self._holdings.values()):
+            self._give_up(holding, 'draining')
+
+    async def _wait(self, holding: Holding) -> JobAnswer:
+        holding.waiters += 1
+        try:
+            return await asyncio.shield(holding.answered)
+        finally:
+            holding.waiters -= 1
+            if not holding.waiters and not holding.answered.done():
+                self._abandon(holding)
+
+    def _refusal(self, holding: Holding) -> JobAnswer | None:
+        """Return the refusal of a job that can't be answered in time."""
+        load = self._load(holding)
+        jitter = self._random.random()
+        admission = self._admission.decide(load, holding.slack_s, jitter=jitter)
+        reason = '' if admission.verdict is Verdict.ADMITTED else admission.verdict
+        retry_after_s = admission.retry_after_s
+        if not reason and self._drain_until is not None:
+            left_s = self._drain_until - self._clock()
+            if left_s < holding.chain_s * DRAIN_FACTOR:
+                reason = 'draining'
+                retry_after_s = NO_AGENT_RETRY_S
+        if not reason:
+            self._events.emit(
+                Event.JOB_RECEIVED,
+                job=holding.job.identifier,
+                service=holding.service.name,
+                tasks=len(holding.tasks),
+                wait_ms=int(admission.wait_s * 1000),
+                slack_ms=int(holding.slack_s * 1000),
+            )
+            return None
+        self._events.emit(
+            Event.JOB_REFUSED,
+            job=holding.job.identifier,
+            service=holding.service.name,
+            reason=str(reason),
+            wait_ms=int(admission.wait_s * 1000),
+            slack_ms=int(holding.slack_s * 1000),
+            ahead=round(load.ahead, 2),
+            work=round(load.work, 2),
+            capacity=load.capacity,
+            free=load.free,
+            entries=load.entries,
+            text=self.text.version,
+        )
+        return JobAnswer(Result.REFUSED, str(reason), retry_after_s)
+
+    def _number_runs(self, holding: Holding) -> None:
+        """Number the runs of a job that comes again above those that it had."""
+        first = self._next_runs.get(holding.job.identifier, 1)
+        for task in holding.tasks.values():
+            task.run = first
+
+    def _forget(self, holding: Holding) -> None:
+        self._holdings.pop(holding.job.identifier, None)
+        highest = max(task.run for task in holding.tasks.values())
+        self._next_runs[holding.job.identifier] = highest + 1
+        if len(self._next_runs) > REMEMBERED_JOBS:
+            self._next_runs.pop(next(iter(self._next_runs)))
+
+    def _load(self, holding: Holding) -> Load:
+        peers = self._peers_of(holding.service)
+        ahead = sum(
+            other.waiting_work
+            for other in self._holdings.values()
+            if other.service.target_pool == holding.service.target_pool
+            and (other.begun or other.start_by <= holding.start_by)
+        )
+        return Load(
+            ahead=ahead,
+            work=holding.waiting_work,
+            capacity=sum(peer.room.capacity.cpu for peer in peers) / 1000,
+            free=sum(
+                max(peer.room.free.cpu - peer.room.backlog_cpu, 0) for peer in peers
+            )
+            / 1000,
+            entries=max((peer.entries for peer in peers), default=1),
+        )
+
+    def _peers_of(self, service: Service) -> list[AgentPeer]:
+        return [
+            peer
+            for peer in self.links.peers.values()
+            if peer.pool == service.target_pool and peer.room.accepting
+        ]
+
+    def _place_soon(self) -> None:
+        if not self._placing_due:
+            self._placing_due = True
+            asyncio.get_running_loop().call_soon(self._place)
+
+    def _place(self) -> None:
+        """Send what fits, the most urgent first."""
+        self._placing_due = False
+        now = self._clock()
+        full: dict[str, int] = {}
+        for holding in sorted(self._holdings.values(), key=_urgency):
+            ready = holding.ready_tasks(now)
+            if ready and now < holding.deadline_at:
+                self._place_job(holding, ready, full)
+
+    def _place_job(
+        self, holding: Holding, ready: list[HeldTask], full: dict[str, int]
+    ) -> None:
+        pool = holding.service.target_pool
+        peers = {peer.room.name: peer for peer in self._peers_of(holding.service)}
+        rooms = [peer.room for peer in peers.values()]
+        batches: dict[tuple[str, int], list[HeldTask]] = {}
+        for task in ready:
+            need = task.step.need
+            if need.cpu >= full.get(pool, need.cpu + 1):
+                break
+            room = choose_agent(rooms, need, self._data_centre, task.avoid)
+            if room is None:
+                full[pool] = need.cpu
+                break
+            peers[room.name].reserve(need)
+            batches.setdefault((room.name, task.key.step), []).append(task)
+        for (name, _), tasks in batches.items():
+            self._send(holding, peers[name], tasks)
+
+    def _send(self, holding: Holding, peer: AgentPeer, tasks: list[HeldTask]) -> None:
+        now = self._clock()
+        holding.begun = True
+        for task in tasks:
+            task.state = TaskState.SENT
+            task.agent = peer.name
+            holding.touched += 1
+        expected_s = holding.expected_s(tasks[0])
+        peer.send(
+            [RunOrder(task.key, task.run) for task in tasks],
+            holding.job.payload,
+            tasks[0].step.need,
+            expected_s,
+            holding.start_by - now,
+            holding.deadline_at - now,
+        )
+        self._events.emit(
+            Event.TASK_SENT,
+            job=holding.job.identifier,
+            step=tasks[0].key.step,
+            tasks=[[task.key.number, task.run] for task in tasks],
+            agent=peer.name,
+            free_cpu=peer.room.free.cpu,
+            backlog_cpu=peer.room.backlog_cpu,
+            heard_ms_ago=int((now - peer.channel.heard_at) * 1000),
+        )
+
+    def _end_attempt(
+        self, holding: Holding, task: HeldTask, end: RunEnd, run_s: float
+    ) -> None:
+        if end in NEVER_RAN:
+            holding.touched -= 1
+        self._measures.attempt_ended(holding.service.name, end)
+        followed = next_step(end)
+        if followed is NextStep.FINISH:
+            holding.note_done(task)
+            declared_s = task.step.estimate_s
+            self._expected.observe(holding.service.name, declared_s, run_s)
+            if holding.complete:
+                self._answer(holding, JobAnswer(Result.COMPLETED))
+            elif holding.ready_tasks(self._clock()):
+                self._place_soon()
+            return
+        task.state = TaskState.WAITING
+        self._delay(task, followed)
+        if followed is NextStep.COUNT:
+            task.failures += 1
+        if end not in _NEVER_SENT:
+            task.run += 1
+        self._events.emit(
+            Event.TASK_REQUEUED,
+            task=str(task.key),
+            run=task.run,
+            end=end.value,
+            agent=task.agent,
+            failures=task.failures,
+            run_ms=int(run_s * 1000),
+        )
+        if task.failures >= holding.service.attempts:
+            self._finish_failed(holding)
+        else:
+            self._place_soon()
+
+    def _delay(self, task: HeldTask, followed: NextStep) -> None:
+        now = self._clock()
+        if followed is NextStep.WAIT:
+            task.not_before = now + RERUN_WAIT_S
+        elif followed is NextStep.AGAIN:
+            task.not_before = now + REFUSED_DELAY_S
+        if followed is not NextStep.AGAIN:
+            task.avoid.add(task.agent)
+
+    def _finish_failed(self, holding: Holding) -> None:
+        self._stop_tasks(holding)
+        self._answer(holding, JobAnswer(Result.FAILED, 'attempts_used'))
+
+    def _give_up(self, holding: Holding, reason: str) -> None:
+        """Give the final answer to a job that will not be whole in time."""
+        self._stop_tasks(holding)
+        if holding.touched:
+            answer = JobAnswer(Result.EXPIRED, reason)
+        else:
+            retry_after_s = 1 + int(self._random.random() * 2)
+            answer = JobAnswer(Result.REFUSED, reason, retry_after_s)
+        self._answer(holding, answer)
+
+    def _abandon(self, holding: Holding) -> None:
+        """Stop the work for a caller that is gone."""
+        self._stop_tasks(holding)
+        self._forget(holding)
+        age_s = self._clock() - holding.arrived_at
+        self._measures.abandoned(holding)
+        self._events.emit(
+            Event.JOB_ABANDONED,
+            job=holding.job.identifier,
+            age_ms=int(age_s * 1000),
+            touched=holding.touched,
+        )
+
+    def _stop_tasks(self, holding: Holding) -> None:
+        stopped: dict[str, list[HeldTask]] = {}
+        for task in holding.tasks.values():
+            if task.state is TaskState.SENT:
+                stopped.setdefault(task.agent, []).append(task)
+        for name, tasks in stopped.items():
+            peer = self.links.peers.get(name)
+            if peer is not None:
+                peer.stop([task.key for task in tasks])
+
+    def _answer(self, holding: Holding, answer: JobAnswer) -> None:
+        self._forget(holding)
+        age_s = self._clock() - holding.arrived_at
+        self._measures.answered(holding, answer, age_s)
+        self._events.emit(
+            Event.JOB_ANSWERED,
+            job=holding.job.identifier,
+            service=holding.service.name,
+            result=answer.result.value,
+            reason=answer.reason,
+            age_ms=int(age_s * 1000),
+            objective_ms=int(holding.objective_s * 1000),
+            chain_ms=int(holding.chain_s * 1000),
+            touched=holding.touched,
+        )
+        if not holding.answered.done():
+            holding.answered.set_result(answer)
+
+    async def _tick(self) -> None:
+        beat_at = self._clock()
+        while True:
+            await asyncio.sleep(TICK_S)
+            paused_s = self._pauses.look()
+            if paused_s:
+                self._events.emit(
+                    Event.PROCESS_PAUSED, paused_ms=int(paused_s * 1000)
+                )
+                # The agents have stopped our runs meanwhile.
+                self.links.lose_all('paused')
+            now = self._clock()
+            self._expire(now, list(self._holdings.values()))
+            if now - beat_at >= HEARTBEAT_S:
+                beat_at = now
+                self.links.beat(Alive())
+            self._place_soon()
+
+    def _expire(self, now: float, holdings: Iterable[Holding]) -> None:
+        for holding in holdings:
+            late_at = holding.arrived_at + holding.objective_s * LATE_FACTOR
+            if now >= holding.deadline_at - ANSWER_TIME_S:
+                self._give_up(holding, 'deadline')
+            elif not holding.touched and now >= late_at - holding.chain_s:
+                self._give_up(holding, 'overloaded')
+
+
+_NEVER_SENT: Final = frozenset(
+    (RunEnd.REFUSED_ROOM, RunEnd.REFUSED_CLOSED, RunEnd.REFUSED_PRESENT)
+)
+
+
+def _urgency(holding: Holding) -> tuple[bool, float]:
+    """Order jobs: those that have begun first, then by their latest start."""
+    return (not holding.begun, holding.start_by)
--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions on held jobs, free of any network: room, queue, placing, refusing."""
+
+from endivetally_policy.held.admission import HeldAdmission
+from endivetally_policy.held.admission import Load
+from endivetally_policy.held.admission import Verdict
+from endivetally_policy.held.attempts import NextStep
+from endivetally_policy.held.attempts import RunEnd
+from endivetally_policy.held.attempts import next_step
+from endivetally_policy.held.expected import ExpectedTimes
+from endivetally_policy.held.health import TargetHealth
+from endivetally_policy.held.placing import AgentRoom
+from endivetally_policy.held.placing import choose_agent
+from endivetally_policy.held.resources import Resources
+from endivetally_policy.held.resources import Room
+
+__all__ = (
+    'AgentRoom',
+    'ExpectedTimes',
+    'HeldAdmission',
+    'Load',
+    'NextStep',
+    'Resources',
+    'Room',
+    'RunEnd',
+    'TargetHealth',
+    'Verdict',
+    'choose_agent',
+    'next_step',
+)
--- /dev/null
+++ b/libs/endivetally-policy/src/endivetally_policy/held/placing.py
@@ -0,0 +1,78 @@
+"""Chooses the target of a task from what its agents last told."""
+
+from collections.abc import Container
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from endivetally_policy.held.resources import Resources
+
+# Tasks that wait at an agent beyond its free room, as a share of the capacity:
+# about one task of 1.6 cores on 16, so that a freed place has work at once
+# while the order of the queue stays with the entry.
+LOOKAHEAD_SHARE: Final = 0.1
+# A target this much slower than declared times is used when no other is free.
+SLOW_PACE: Final = 2.5
+
+
+@dataclass(slots=True)
+class AgentRoom:
+    """What an entry believes of one target.
+
+    :param free: free room less the tasks sent since it was told.
+    :param backlog_cpu: processors of the tasks that wait at the agent, with
+        those sent since.
+    :param pace: run times relative to the expected ones.
+    """
+
+    name: str
+    data_centre: str
+    capacity: Resources
+    free: Resources
+    backlog_cpu: int
+    pace: float
+    accepting: bool
+
+    def takes(self, need: Resources) -> bool:
+        """Return whether a task would start at once."""
+        return self.accepting and self.free.covers(need)
+
+    def queues(self, need: Resources) -> bool:
+        """Return whether a task may wait at the agent."""
+        if not self.accepting or not self.capacity.covers(need):
+            return False
+        return self.backlog_cpu + need.cpu <= self.capacity.cpu * LOOKAHEAD_SHARE
+
+
+def choose_agent(
+    rooms: Iterable[AgentRoom],
+    need: Resources,
+    data_centre: str,
+    avoid: Container[str] = (),
+) -> AgentRoom | None:
+    """Return the best target for a task, if one can take it now.
+
+    Free room goes before waiting, sound and quick targets before slow ones, the
+    own data centre before others unless it has less than half the free share.
+
+    :param avoid: names of agents where the task has failed or was refused.
+    """
+    best: AgentRoom | None = None
+    best_rank: tuple[float, ...] = ()
+    for room in rooms:
+        starts = room.takes(need)
+        if not starts and not room.queues(need):
+            continue
+        share = room.free.cpu / max(room.capacity.cpu, 1)
+        if room.data_centre == data_centre:
+            share = share * 1.5 + 0.01
+        rank = (
+            room.name not in avoid,
+            starts,
+            room.pace < SLOW_PACE,
+            share - room.backlog_cpu / max(room.capacity.cpu, 1),
+        )
+        if best is None or rank > best_rank:
+            best = room
+            best_rank = rank
+    return best
