--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -4,28 +4,24 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import Final
 from typing import Self
 
-from endivetally_core.clock import PauseWatch
 from endivetally_core.clock import steady_now
-from endivetally_core.errors import LinkClosed
-from endivetally_core.errors import MalformedMessage
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 from endivetally_policy.held import Resources
 from endivetally_policy.held import RunEnd
 from endivetally_policy.held.resources import NOTHING
-from tornado.iostream import IOStream
-from tornado.tcpserver import TCPServer
 
+from endivetally_held.backlog import Backlog
 from endivetally_held.channel import HEARTBEAT_S
-from endivetally_held.channel import Channel
+from endivetally_held.entry_peers import EntryPeer
+from endivetally_held.entry_peers import EntryPeers
+from endivetally_held.entry_peers import PeerListener
 from endivetally_held.jobs import TaskKey
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
-from endivetally_held.messages import EntryHello
 from endivetally_held.messages import RunEnded
 from endivetally_held.messages import RunOrder
 from endivetally_held.messages import StartRuns
@@ -33,8 +29,8 @@
 from endivetally_held.messages import TargetState
 from endivetally_held.ports import TargetDialer
 from endivetally_held.ports import TargetReport
-from endivetally_held.session import Run
-from endivetally_held.session import RunState
+from endivetally_held.runs import Run
+from endivetally_held.runs import RunState
 from endivetally_held.session import SessionListener
 from endivetally_held.session import TargetSession
 
@@ -43,36 +39,13 @@
 REMEMBERED_TARGETS: Final = 64
 # States of one turn are told together; a third of the shortest round trip.
 STATE_DELAY_S: Final = 0.005
-# Drain: time left for what runs before the process is killed, and how often
-# the end is looked for.
 DRAIN_CHECK_S: Final = 0.05
 # A backlog in cores relative to the capacity beyond which orders are refused;
 # entries keep well below it, but they do not know of each other's orders.
 BACKLOG_SHARE: Final = 0.35
 
 
-@dataclass(slots=True, eq=False)
-class _EntryPeer:
-    """One linked entry."""
-
-    incarnation: str
-    channel: Channel
-    handled: int = 0
-
-
-class _LinkServer(TCPServer):
-    """Accepts the links of entries."""
-
-    def __init__(self, agent: 'HeldAgent') -> None:
-        super().__init__()
-        self._agent = agent
-
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one entry until its link ends."""
-        await self._agent.serve_entry(stream)
-
-
-class HeldAgent(SessionListener):
+class HeldAgent(SessionListener, PeerListener):
     """Runs tasks of entries at the target beside it.
 
     :param incarnation: name of this start of the process.
@@ -87,29 +60,19 @@
         events: EventLog,
         clock: Callable[[], float] = steady_now,
     ) -> None:
-        self._incarnation = incarnation
-        self._data_centre = data_centre
+        hello = AgentHello(incarnation, data_centre)
+        self.peers = EntryPeers(hello, self, events, clock)
         self._dialer = dialer
         self._events = events
         self._clock = clock
-        self._pauses = PauseWatch(clock=clock)
         self._session: TargetSession | None = None
         self._ended_targets: deque[str] = deque(maxlen=REMEMBERED_TARGETS)
-        self._former: set[asyncio.Task[None]] = set()
-        self._peers: dict[str, _EntryPeer] = {}
-        self._backlog: list[Run] = []
-        self._backlog_cpu = 0
+        self._closing: set[asyncio.Task[None]] = set()
+        self._backlog = Backlog()
         self._draining = False
         self._state_due = False
-        self._last_state: tuple[object, ...] = ()
-        self._server = _LinkServer(self)
         self._stack = AsyncExitStack()
 
-    @property
-    def linked_entries(self) -> int:
-        """Number of linked entries."""
-        return len(self._peers)
-
     @property
     def running(self) -> int:
         """Attempts that hold room at the target."""
@@ -122,23 +85,16 @@
 
     async def __aenter__(self) -> Self:
         """Start the periodic work."""
-        self._stack.callback(self._server.stop)
+        self._stack.push_async_callback(self._close_session)
+        self._stack.callback(self.peers.close)
         ticker = asyncio.ensure_future(self._tick())
         self._stack.callback(ticker.cancel)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close links and session."""
-        for peer in list(self._peers.values()):
-            peer.channel.close()
-        if self._session is not None:
-            await self._session.close()
         await self._stack.aclose()
 
-    def listen(self, port: int, host: str) -> None:
-        """Accept links of entries at an address."""
-        self._server.listen(port, host)
-
     def take_report(self, report: TargetReport) -> bool:
         """Take in what the target says of itself; false for an outdated report."""
         session = self._session
@@ -153,7 +109,7 @@
         session.report = report
         if drains:
             self._events.emit(Event.TARGET_DRAINING, target=report.target_id)
-            self._refuse_backlog(RunEnd.REFUSED_CLOSED)
+            self._refuse_backlog()
             self.room_changed()
         return True
 
@@ -167,16 +123,17 @@
 
     def run_ended(self, run: Run, end: RunEnd, run_s: float) -> None:
         """Tell the entry that ordered it, and use the room."""
+        run_ms = int(run_s * 1000)
         self._events.emit(
             Event.RUN_ENDED,
             task=str(run.task),
             run=run.number,
             end=end.value,
-            run_ms=int(run_s * 1000),
+            run_ms=run_ms,
         )
-        peer = self._peers.get(run.owner)
+        peer = self.peers.find(run.owner)
         if peer is not None:
-            peer.channel.post(RunEnded(run.task, run.number, end, int(run_s * 1000)))
+            peer.channel.post(RunEnded(run.task, run.number, end, run_ms))
         self.room_changed()
 
     def room_changed(self) -> None:
@@ -192,31 +149,25 @@
         """
         self._drop_session(ended=ended)
 
-    async def serve_entry(self, stream: IOStream) -> None:
-        """Serve the link of one entry until it ends."""
-        channel = Channel(stream, self._clock)
-        channel.post(AgentHello(self._incarnation, self._data_centre))
-        peer: _EntryPeer | None = None
-        reason = 'closed'
-        try:
-            while True:
-                batch = await channel.receive()
-                self._check_pause()
-                if channel.closed:
-                    raise LinkClosed('paused')
-                for message in batch:
-                    if peer is None:
-                        peer = self._welcome(message, channel)
-                    else:
-                        self._handle(peer, message)
-        except LinkClosed as error:
-            reason = str(error)
-        except MalformedMessage as error:
-            reason = f'malformed: {error}'
-        finally:
-            channel.close()
-            if peer is not None:
-                self._lose(peer, reason)
+    def peer_joined(self, peer: EntryPeer) -> None:
+        """Tell a new entry the state of the target."""
+        peer.channel.post(self._state(peer))
+        self._tell_state_soon()
+
+    def peer_said(self, peer: EntryPeer, message: AnyHeldMessage) -> None:
+        """Take in orders."""
+        if isinstance(message, StartRuns):
+            peer.handled = message.sequence
+            self._take_orders(peer, message)
+        elif isinstance(message, StopRuns):
+            self._stop_runs(peer, set(message.tasks))
+
+    def peer_lost(self, peer: EntryPeer) -> None:
+        """Stop what the entry ordered: its callers may ask elsewhere."""
+        self._backlog.take(lambda run: run.owner == peer.incarnation)
+        if self._session is not None:
+            self._session.stop_owned(peer.incarnation)
+        self._tell_state_soon()
 
     async def drain(self, limit_s: float) -> None:
         """Take nothing new, let what runs end, then return.
@@ -224,7 +175,7 @@
         :param limit_s: longest time for it.
         """
         self._draining = True
-        self._refuse_backlog(RunEnd.REFUSED_CLOSED)
+        self._refuse_backlog()
         self.room_changed()
         end_at = self._clock() + limit_s
         while self.running and self._clock() < end_at:
@@ -254,54 +205,18 @@
         self._session = None
         if ended:
             self._ended_targets.append(session.report.target_id)
-        closing = asyncio.ensure_future(session.close())
-        self._former.add(closing)
-        closing.add_done_callback(self._former.discard)
-        self._refuse_backlog(RunEnd.REFUSED_CLOSED)
+        closing = asyncio.create_task(session.close())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+        self._refuse_backlog()
         session.end_all(RunEnd.LOST)
         self._tell_state_soon()
 
-    def _welcome(self, message: AnyHeldMessage, channel: Channel) -> _EntryPeer:
-        if not isinstance(message, EntryHello):
-            raise MalformedMessage('the first message is no greeting')
-        former = self._peers.get(message.entry)
-        if former is not None:
-            self._lose(former, 'linked again')
-            former.channel.close()
-        peer = _EntryPeer(message.entry, channel)
-        self._peers[message.entry] = peer
-        self._events.emit(
-            Event.ENTRY_LINKED, entry=message.entry, entries=len(self._peers)
-        )
-        channel.post(self._state(peer))
-        self._tell_state_soon()
-        return peer
-
-    def _lose(self, peer: _EntryPeer, reason: str) -> None:
-        if self._peers.get(peer.incarnation) is not peer:
-            return
-        del self._peers[peer.incarnation]
-        dropped = [run for run in self._backlog if run.owner == peer.incarnation]
-        for run in dropped:
-            self._remove_waiting(run)
+    async def _close_session(self) -> None:
         if self._session is not None:
-            self._session.stop_owned(peer.incarnation)
-        self._events.emit(
-            Event.ENTRY_LOST,
-            entry=peer.incarnation,
-            reason=reason,
-            dropped=len(dropped),
-            heard_ms_ago=int((self._clock() - peer.channel.heard_at) * 1000),
-        )
-
-    def _handle(self, peer: _EntryPeer, message: AnyHeldMessage) -> None:
-        if isinstance(message, StartRuns):
-            peer.handled = message.sequence
-            self._take_orders(peer, message)
-        elif isinstance(message, StopRuns):
-            self._stop_runs(peer, message.tasks)
+            await self._session.close()
 
-    def _take_orders(self, peer: _EntryPeer, message: StartRuns) -> None:
+    def _take_orders(self, peer: EntryPeer, message: StartRuns) -> None:
         now = self._clock()
         for order in message.orders:
             run = Run(
@@ -316,11 +231,9 @@
             )
             refusal = self._refusal(order, message.need)
             if refusal is None:
-                self._backlog.append(run)
-                self._backlog_cpu += run.need.cpu
+                self._backlog.add(run)
             else:
                 self._refuse(run, refusal)
-        self._backlog.sort(key=_start_by)
         self._start_waiting()
         self._refuse_excess()
         self._tell_state_soon()
@@ -331,8 +244,8 @@
             return RunEnd.REFUSED_CLOSED
         if not session.room.capacity.covers(need):
             return RunEnd.REFUSED_ROOM
-        waiting = any(run.task == order.task for run in self._backlog)
-        return RunEnd.REFUSED_PRESENT if waiting or session.holds(order.task) else None
+        present = self._backlog.holds(order.task) or session.holds(order.task)
+        return RunEnd.REFUSED_PRESENT if present else None
 
     def _refuse_excess(self) -> None:
         """Refuse what would wait too long, the least urgent first."""
@@ -340,73 +253,60 @@
         if session is None:
             return
         limit = session.room.capacity.cpu * BACKLOG_SHARE
-        if not session.may_start():
-            limit = 0
-        while self._backlog and self._backlog_cpu > limit:
-            run = self._backlog[-1]
-            self._remove_waiting(run)
+        for run in self._backlog.take_excess(limit if session.may_start() else 0):
             self._refuse(run, RunEnd.REFUSED_ROOM)
 
-    def _refuse_backlog(self, end: RunEnd) -> None:
-        for run in list(self._backlog):
-            self._remove_waiting(run)
-            self._refuse(run, end)
+    def _refuse_backlog(self) -> None:
+        for run in self._backlog.take(lambda _: True):
+            self._refuse(run, RunEnd.REFUSED_CLOSED)
 
     def _refuse(self, run: Run, end: RunEnd) -> None:
         run.state = RunState.ENDED
         self._events.emit(
             Event.RUN_REFUSED, task=str(run.task), run=run.number, reason=end.value
         )
-        peer = self._peers.get(run.owner)
+        peer = self.peers.find(run.owner)
         if peer is not None:
             peer.channel.post(RunEnded(run.task, run.number, end))
 
-    def _remove_waiting(self, run: Run) -> None:
-        self._backlog.remove(run)
-        self._backlog_cpu -= run.need.cpu
-
     def _start_waiting(self) -> None:
         session = self._session
         if session is None or self._draining:
             return
         now = self._clock()
-        for run in list(self._backlog):
+        for run in self._backlog:
             if run.give_up_at <= now:
-                self._remove_waiting(run)
+                self._backlog.remove(run)
                 self._refuse(run, RunEnd.REFUSED_ORDER)
             elif session.start(run):
-                self._remove_waiting(run)
-
-    def _stop_runs(self, peer: _EntryPeer, tasks: list[TaskKey]) -> None:
-        wanted = set(tasks)
-        for waiting in list(self._backlog):
-            if waiting.task in wanted and waiting.owner == peer.incarnation:
-                self._remove_waiting(waiting)
-                self._refuse(waiting, RunEnd.REFUSED_ORDER)
-        session = self._session
-        if session is not None:
-            for task in wanted:
-                run = session.find(task)
-                if run is not None and run.owner == peer.incarnation:
-                    session.stop(run)
+                self._backlog.remove(run)
+
+    def _stop_runs(self, peer: EntryPeer, tasks: set[TaskKey]) -> None:
+        withdrawn = self._backlog.take(
+            lambda run: run.owner == peer.incarnation and run.task in tasks
+        )
+        for run in withdrawn:
+            self._refuse(run, RunEnd.REFUSED_ORDER)
+        if self._session is not None:
+            self._session.stop_owned(peer.incarnation, tasks)
         self._tell_state_soon()
 
-    def _state(self, peer: _EntryPeer) -> TargetState:
+    def _state(self, peer: EntryPeer) -> TargetState:
+        entries = len(self.peers)
         session = self._session
         if session is None:
             return TargetState(
-                '', False, NOTHING, NOTHING, 0, 1.0, peer.handled, len(self._peers)
+                '', False, NOTHING, NOTHING, 0, 1.0, peer.handled, entries
             )
-        accepting = session.may_start() and not self._draining
         return TargetState(
             session.report.pool,
-            accepting,
+            session.may_start() and not self._draining,
             session.room.capacity,
             session.room.free,
-            self._backlog_cpu,
+            self._backlog.cpu,
             session.health.pace,
             peer.handled,
-            len(self._peers),
+            entries,
         )
 
     def _tell_state_soon(self) -> None:
@@ -416,33 +316,15 @@
 
     def _tell_state(self) -> None:
         self._state_due = False
-        for peer in self._peers.values():
+        for peer in self.peers:
             peer.channel.post(self._state(peer))
 
-    def _check_pause(self) -> None:
-        paused_s = self._pauses.look()
-        if not paused_s:
-            return
-        self._events.emit(Event.PROCESS_PAUSED, paused_ms=int(paused_s * 1000))
-        # What came in meanwhile may be older than anybody still expects.
-        for peer in list(self._peers.values()):
-            self._lose(peer, 'paused')
-            peer.channel.close()
-
     async def _tick(self) -> None:
         told_at = self._clock()
         while True:
             await asyncio.sleep(TICK_S)
-            self._check_pause()
-            for peer in list(self._peers.values()):
-                if peer.channel.silent:
-                    self._lose(peer, 'silent')
-                    peer.channel.close()
+            self.peers.lose_silent()
             self._start_waiting()
             if self._clock() - told_at >= HEARTBEAT_S:
                 told_at = self._clock()
                 self._tell_state()
-
-
-def _start_by(run: Run) -> float:
-    return run.start_by
--- a/libs/endivetally-held/src/endivetally_held/agent_links.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_links.py
@@ -239,9 +239,7 @@
             # The same agent under two addresses.
             return None
         self.peers[peer.name] = peer
-        self._events.emit(
-            Event.AGENT_LINKED, agent=peer.name, agents=len(self.peers)
-        )
+        self._events.emit(Event.AGENT_LINKED, agent=peer.name, agents=len(self.peers))
         self._take(peer, batch[1:])
         return peer
 
--- a/libs/endivetally-held/src/endivetally_held/channel.py
+++ b/libs/endivetally-held/src/endivetally_held/channel.py
@@ -72,7 +72,7 @@
         """
         try:
             header = await self._stream.read_bytes(_LENGTH.size)
-            (size,) = _LENGTH.unpack(header)
+            size = _LENGTH.unpack(header)[0]
             if size > MAX_BATCH_BYTES:
                 raise MalformedMessage(f'batch of {size} bytes')
             encoded = await self._stream.read_bytes(size)
--- a/libs/endivetally-held/src/endivetally_held/directory.py
+++ b/libs/endivetally-held/src/endivetally_held/directory.py
@@ -122,9 +122,7 @@
             return
         changes = await self._table.changes(self._version, FEED_WAIT_S)
         self._version = max(self._version, changes.version)
-        relevant = [
-            row for row in changes.rows if row.key.startswith(self._prefix)
-        ]
+        relevant = [row for row in changes.rows if row.key.startswith(self._prefix)]
         relevant.extend(
             row for row in changes.deleted if row.key.startswith(self._prefix)
         )
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -1,6 +1,7 @@
 """The entry of the held path: wires queue, placing, refusing and links."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -37,12 +38,12 @@
 from endivetally_held.jobs import HeldJob
 from endivetally_held.jobs import JobAnswer
 from endivetally_held.jobs import Result
+from endivetally_held.lease import LEASE_MARGIN
+from endivetally_held.lease import LEASE_MS
 from endivetally_held.measures import EntryMeasures
 from endivetally_held.messages import Alive
 from endivetally_held.messages import RunEnded
 from endivetally_held.messages import RunOrder
-from endivetally_held.session import LEASE_MARGIN
-from endivetally_held.session import LEASE_MS
 
 TICK_S: Final = 0.025
 # After the end of a link its agent stops our runs once it has heard nothing for
@@ -92,6 +93,7 @@
         self._holdings: dict[str, Holding] = {}
         self._next_runs: dict[str, int] = {}
         self._drain_until: float | None = None
+        self._closed = False
         self._placing_due = False
         self._stack = AsyncExitStack()
 
@@ -186,10 +188,17 @@
             if task.state is TaskState.SENT:
                 self._end_attempt(holding, task, RunEnd.UNREACHABLE, 0)
 
-    async def drain(self, limit_s: float) -> None:
-        """Answer what is open, for a time at most."""
+    def begin_drain(self, limit_s: float) -> None:
+        """Go on serving, but take only what ends within a time.
+
+        :param limit_s: seconds until the process has to end.
+        """
         self._drain_until = self._clock() + limit_s
-        while self._holdings and self._clock() < self._drain_until:
+
+    async def finish_drain(self) -> None:
+        """Take nothing any more, answer what is open, and give up the rest."""
+        self._closed = True
+        while self._holdings and self._drain_left_s > 0:
             await asyncio.sleep(TICK_S)
         for holding in list(self._holdings.values()):
             self._give_up(holding, 'draining')
@@ -208,13 +217,12 @@
         load = self._load(holding)
         jitter = self._random.random()
         admission = self._admission.decide(load, holding.slack_s, jitter=jitter)
-        reason = '' if admission.verdict is Verdict.ADMITTED else admission.verdict
+        admitted = admission.verdict is Verdict.ADMITTED
+        reason = '' if admitted else admission.verdict.value
         retry_after_s = admission.retry_after_s
-        if not reason and self._drain_until is not None:
-            left_s = self._drain_until - self._clock()
-            if left_s < holding.chain_s * DRAIN_FACTOR:
-                reason = 'draining'
-                retry_after_s = NO_AGENT_RETRY_S
+        if not reason and self._too_long_to_drain(holding):
+            reason = 'draining'
+            retry_after_s = NO_AGENT_RETRY_S
         if not reason:
             self._events.emit(
                 Event.JOB_RECEIVED,
@@ -229,7 +237,7 @@
             Event.JOB_REFUSED,
             job=holding.job.identifier,
             service=holding.service.name,
-            reason=str(reason),
+            reason=reason,
             wait_ms=int(admission.wait_s * 1000),
             slack_ms=int(holding.slack_s * 1000),
             ahead=round(load.ahead, 2),
@@ -239,7 +247,15 @@
             entries=load.entries,
             text=self.text.version,
         )
-        return JobAnswer(Result.REFUSED, str(reason), retry_after_s)
+        return JobAnswer(Result.REFUSED, reason, retry_after_s)
+
+    @property
+    def _drain_left_s(self) -> float:
+        until = self._drain_until
+        return math.inf if until is None else until - self._clock()
+
+    def _too_long_to_drain(self, holding: Holding) -> bool:
+        return self._closed or self._drain_left_s < holding.chain_s * DRAIN_FACTOR
 
     def _number_runs(self, holding: Holding) -> None:
         """Number the runs of a job that comes again above those that it had."""
@@ -448,9 +464,7 @@
             await asyncio.sleep(TICK_S)
             paused_s = self._pauses.look()
             if paused_s:
-                self._events.emit(
-                    Event.PROCESS_PAUSED, paused_ms=int(paused_s * 1000)
-                )
+                self._events.emit(Event.PROCESS_PAUSED, paused_ms=int(paused_s * 1000))
                 # The agents have stopped our runs meanwhile.
                 self.links.lose_all('paused')
             now = self._clock()
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -1,25 +1,24 @@
 """The agent's dealings with one life of its target: orders, looks, room, lease."""
 
 import asyncio
-import enum
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+from collections.abc import Container
+from collections.abc import Coroutine
+from typing import Any
 from typing import Final
 
 from endivetally_core.clock import steady_now
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
-from endivetally_policy.held import Resources
 from endivetally_policy.held import Room
 from endivetally_policy.held import RunEnd
 from endivetally_policy.held import TargetHealth
 
 from endivetally_held.jobs import TaskKey
+from endivetally_held.lease import Lease
 from endivetally_held.ports import EndedTask
-from endivetally_held.ports import Mandate
 from endivetally_held.ports import OrderEnd
 from endivetally_held.ports import RunningTask
 from endivetally_held.ports import Sighting
@@ -27,68 +26,16 @@
 from endivetally_held.ports import TargetReplaced
 from endivetally_held.ports import TargetReport
 from endivetally_held.ports import TargetSilent
+from endivetally_held.runs import Run
+from endivetally_held.runs import RunState
+from endivetally_held.runs import stands_still
 
-# Lease of all that runs at the target. A caller's copy of a job arrives 1.3 s
-# after its first connection broke; by then the lease of a lost agent has ended,
-# also on a clock that is 2% slow.
-LEASE_MS: Final = 800
-# Bound on the drift of the target's clock, and on the time of an answer.
-LEASE_MARGIN: Final = 1.05
-ANSWER_MARGIN_S: Final = 0.1
 # Longest wait of a look: the lease is renewed three times over.
 LOOK_WAIT_S: Final = 0.2
 # Time for an answer beyond the wait; an answer takes a few milliseconds.
 LOOK_GRACE_S: Final = 0.25
-# Without an answer for so long nothing new is started.
-CONTACT_LIMIT_S: Final = 0.6
 STOP_RETRY_S: Final = 0.1
 LOOK_RETRY_S: Final = 0.05
-# A run that shows no progress for this time, and for this many times its
-# expected run time, stands still.
-STALL_FLOOR_S: Final = 0.5
-STALL_FACTOR: Final = 1.5
-# A run is moved when what is left of it here takes this many times a whole run
-# elsewhere.
-MOVE_FACTOR: Final = 2.0
-WHOLE: Final = 100
-
-
-class RunState(enum.Enum):
-    """Where a run stands."""
-
-    WAITING = enum.auto()
-    STARTING = enum.auto()
-    RUNNING = enum.auto()
-    STOPPING = enum.auto()
-    ENDED = enum.auto()
-
-
-@dataclass(slots=True, eq=False)
-class Run:
-    """One attempt at a task.
-
-    :param owner: incarnation of the entry that ordered it.
-    :param start_by: steady time after which a start is late; lower goes first.
-    :param give_up_at: steady time after which it must not start.
-    :param seen: whether the target accepted it or listed it.
-    """
-
-    task: TaskKey
-    number: int
-    owner: str
-    payload: str
-    need: Resources
-    expected_s: float
-    start_by: float
-    give_up_at: float
-    state: RunState = RunState.WAITING
-    asked_at: float = 0
-    settled_at: float = 0
-    seen: bool = False
-    stop_end: RunEnd = RunEnd.STOPPED
-    percent: int = 0
-    moved_at: float = 0
-    stopper: 'asyncio.Task[None] | None' = field(default=None)
 
 
 class SessionListener(ABC):
@@ -114,8 +61,7 @@
     """Runs tasks at one life of a target and keeps its lease.
 
     :param target: takes the orders.
-    :param report: its first report; its clock gives the fencing token, which
-        rises over the lives of the agent beside one life of the target.
+    :param report: its first report.
     """
 
     def __init__(
@@ -134,20 +80,17 @@
         self._listener = listener
         self._events = events
         self._clock = clock
-        self._token = report.clock_ms
-        self._clock_offset_ms = report.clock_ms - clock() * 1000
+        self._lease = Lease(report.clock_ms, clock)
         self._runs: dict[TaskKey, Run] = {}
         self._seen = 0
-        self._answered_at = clock()
-        self._lease_ends_at = clock() + LEASE_MS / 1000 * LEASE_MARGIN
         self._unanswered_looks = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Future[None]] = set()
         self._closed = False
 
     @property
     def accepting(self) -> bool:
         """Whether the target may be told to start tasks."""
-        return self.adopted and not self.report.draining and self._in_contact()
+        return self.adopted and not self.report.draining and self._lease.in_contact
 
     @property
     def running(self) -> int:
@@ -194,52 +137,31 @@
         if not starting:
             self._spawn(self._order_stop(run))
 
-    def stop_owned(self, owner: str) -> None:
-        """Stop everything that an entry ordered."""
+    def stop_owned(self, owner: str, tasks: Container[TaskKey] | None = None) -> None:
+        """Stop what an entry ordered.
+
+        :param tasks: only these; all by default.
+        """
         for run in list(self._runs.values()):
-            if run.owner == owner:
+            if run.owner == owner and (tasks is None or run.task in tasks):
                 self.stop(run)
 
-    def find(self, task: TaskKey) -> Run | None:
-        """Return the attempt at a task that has not ended here."""
-        return self._runs.get(task)
-
     def end_all(self, end: RunEnd) -> None:
         """Tell the end of every attempt, when nothing can be left of them."""
         for run in list(self._runs.values()):
             self._finish(run, end)
 
-    def _in_contact(self) -> bool:
-        return self._clock() - self._answered_at < CONTACT_LIMIT_S
-
-    def _spawn(self, work: 'asyncio.Future[None]') -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _target_clock_ms(self) -> int:
-        return int(self._clock() * 1000 + self._clock_offset_ms)
-
-    def _mandate(self) -> Mandate:
-        now = self._clock()
-        self._lease_ends_at = max(
-            self._lease_ends_at,
-            now + LEASE_MS / 1000 * LEASE_MARGIN + ANSWER_MARGIN_S,
-        )
-        return Mandate(self._token, self._target_clock_ms() + LEASE_MS)
-
-    def _note_answer(self, clock_ms: int | None) -> None:
-        now = self._clock()
-        self._answered_at = now
-        if clock_ms is not None:
-            self._clock_offset_ms = clock_ms - now * 1000
-
     async def _order_start(self, run: Run) -> None:
         answer = await self._target.start(
-            run.task, run.number, run.payload, self._mandate()
+            run.task, run.number, run.payload, self._lease.renew()
         )
         if answer.end is not OrderEnd.UNANSWERED:
-            self._note_answer(answer.clock_ms)
+            self._lease.note_answer(answer.clock_ms)
         if run.state is RunState.ENDED:
             return
         run.settled_at = self._clock()
@@ -256,9 +178,7 @@
                 took_ms=_milliseconds(run.settled_at - run.asked_at),
             )
         elif answer.end is OrderEnd.UNANSWERED:
-            self._events.emit(
-                Event.ORDER_UNANSWERED, order='start', task=str(run.task)
-            )
+            self._events.emit(Event.ORDER_UNANSWERED, order='start', task=str(run.task))
             if run.state is RunState.STARTING:
                 run.state = RunState.STOPPING
                 run.stop_end = RunEnd.REFUSED_TARGET
@@ -281,11 +201,9 @@
     async def _order_stop(self, run: Run) -> None:
         """Repeat the order until it is answered or the attempt has ended."""
         while run.state is not RunState.ENDED:
-            answer = await self._target.stop(
-                run.task, run.number, Mandate(self._token)
-            )
+            answer = await self._target.stop(run.task, run.number, self._lease.bare)
             if answer.end is OrderEnd.ACCEPTED:
-                self._note_answer(answer.clock_ms)
+                self._lease.note_answer(answer.clock_ms)
                 run.settled_at = self._clock()
                 return
             if answer.end in {OrderEnd.FENCED, OrderEnd.OTHER_TARGET}:
@@ -313,12 +231,12 @@
     async def _look(self) -> Sighting:
         if not self.adopted:
             return await self._target.look(
-                Mandate(self._token), self._seen, 0, LOOK_GRACE_S
+                self._lease.bare, self._seen, 0, LOOK_GRACE_S
             )
         # A target that carries out looks without answering must not keep runs
         # alive that nobody watches.
         quiet = self._unanswered_looks > 1
-        mandate = Mandate(self._token) if quiet else self._mandate()
+        mandate = self._lease.bare if quiet else self._lease.renew()
         hurried = self._unanswered_looks or self._stopping()
         wait_s = 0 if hurried else LOOK_WAIT_S
         return await self._target.look(
@@ -339,10 +257,10 @@
                 target=self.report.target_id,
                 reason=reason,
                 running=len(self._runs),
-                answered_ms_ago=_milliseconds(self._clock() - self._answered_at),
+                answered_ms_ago=_milliseconds(self._lease.answered_s_ago),
             )
             self._listener.room_changed()
-        if self._clock() > self._lease_ends_at and self._runs:
+        if self._runs and not self._lease.left_s:
             self.end_all(RunEnd.LAPSED)
         await asyncio.sleep(LOOK_RETRY_S)
 
@@ -356,23 +274,22 @@
             reason='other_target' if ended else 'fenced',
         )
         if not ended:
-            await asyncio.sleep(max(self._lease_ends_at - self._clock(), 0))
+            await asyncio.sleep(self._lease.left_s)
         self._listener.target_replaced(ended=ended)
 
     def _take_in(self, sighting: Sighting, asked_at: float) -> None:
-        self._note_answer(sighting.clock_ms)
+        self._lease.note_answer(sighting.clock_ms)
         for ended in sighting.ended:
             if ended.number > self._seen:
                 self._seen = ended.number
                 self._take_in_end(ended)
-        listed = set()
         for running in sighting.running:
-            listed.add((running.task, running.run))
             self._take_in_running(running)
+        listed = {(running.task, running.run) for running in sighting.running}
         for run in list(self._runs.values()):
             settled = run.settled_at and run.settled_at < asked_at
             if settled and (run.task, run.number) not in listed:
-                self._finish(run, run.stop_end if not run.seen else RunEnd.LOST)
+                self._finish(run, RunEnd.LOST if run.seen else run.stop_end)
         if not self.adopted and not sighting.running:
             self.adopted = True
             self._listener.room_changed()
@@ -405,19 +322,22 @@
         if running.percent > run.percent:
             run.percent = running.percent
             run.moved_at = now
-        if run.state is RunState.RUNNING and _stands_still(run, now):
-            self._events.emit(
-                Event.RUN_STOPPED,
-                task=str(run.task),
-                run=run.number,
-                reason='stalled',
-                percent=run.percent,
-                elapsed_ms=_milliseconds(now - run.asked_at),
-                expected_ms=_milliseconds(run.expected_s),
-            )
-            if self.health.failed(run.task.job, now):
-                self._tell_standing()
-            self.stop(run, RunEnd.STALLED)
+        if run.state is RunState.RUNNING and stands_still(run, now):
+            self._stop_stalled(run, now)
+
+    def _stop_stalled(self, run: Run, now: float) -> None:
+        self._events.emit(
+            Event.RUN_STOPPED,
+            task=str(run.task),
+            run=run.number,
+            reason='stalled',
+            percent=run.percent,
+            elapsed_ms=_milliseconds(now - run.asked_at),
+            expected_ms=_milliseconds(run.expected_s),
+        )
+        if self.health.failed(run.task.job, now):
+            self._tell_standing()
+        self.stop(run, RunEnd.STALLED)
 
     async def _stop_stray(self, running: RunningTask) -> None:
         self._events.emit(
@@ -426,7 +346,7 @@
             run=running.run,
             reason='stray',
         )
-        await self._target.stop(running.task, running.run, Mandate(self._token))
+        await self._target.stop(running.task, running.run, self._lease.bare)
 
     def _tell_standing(self) -> None:
         self._events.emit(
@@ -459,17 +379,5 @@
     return RunEnd.STOPPED if end is RunEnd.REFUSED_TARGET else end
 
 
-def _stands_still(run: Run, now: float) -> bool:
-    """Return whether a run had better go elsewhere."""
-    still_s = now - run.moved_at
-    if still_s > max(STALL_FLOOR_S, run.expected_s * STALL_FACTOR):
-        return True
-    elapsed_s = now - run.asked_at
-    if run.percent <= 0 or elapsed_s < max(STALL_FLOOR_S, run.expected_s):
-        return False
-    left_s = elapsed_s * (WHOLE - run.percent) / run.percent
-    return left_s > run.expected_s * MOVE_FACTOR
-
-
 def _milliseconds(seconds: float) -> int:
     return int(seconds * 1000)
