--- a/libs/endivetally-held/src/endivetally_held/agent_links.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_links.py
@@ -4,6 +4,7 @@
 from abc import ABC
 from abc import abstractmethod
 from collections import deque
+from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Final
@@ -19,6 +20,7 @@
 from endivetally_policy.held import Resources
 from endivetally_policy.held.resources import NOTHING
 from endivetally_table.table import Row
+from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
@@ -40,6 +42,8 @@
 FIRST_REDIAL_S: Final = 0.1
 LONGEST_REDIAL_S: Final = 1.0
 
+Connect = Callable[[Address], Awaitable[IOStream]]
+
 
 class AgentPeer:
     """One linked agent and the room that it told, less what was sent since."""
@@ -135,6 +139,7 @@
     """Links to all agents of the directory, one task each.
 
     :param incarnation: name of this start of the entry.
+    :param connect: opens a connection, or raises ``OSError``.
     """
 
     def __init__(
@@ -144,6 +149,7 @@
         listener: AgentListener,
         events: EventLog,
         clock: Callable[[], float] = steady_now,
+        connect: Connect | None = None,
     ) -> None:
         self.peers: dict[str, AgentPeer] = {}
         self._incarnation = incarnation
@@ -152,7 +158,7 @@
         self._events = events
         self._clock = clock
         self._dials: dict[Address, asyncio.Task[None]] = {}
-        self._client = TCPClient()
+        self._connect = connect or _connect
 
     def set_rows(self, rows: dict[str, Row]) -> None:
         """Dial the agents of the directory; links that are up stay."""
@@ -188,7 +194,6 @@
             dial.cancel()
         self._dials.clear()
         self.lose_all('closing')
-        self._client.close()
 
     async def _keep(self, address: Address) -> None:
         """Keep a link to an address, as long as it is in the directory."""
@@ -211,9 +216,7 @@
             delay_s = min(delay_s * 2, LONGEST_REDIAL_S)
 
     async def _serve(self, address: Address) -> None:
-        stream = await self._client.connect(
-            address.host, address.port, timeout=DIAL_TIMEOUT_S
-        )
+        stream = await self._connect(address)
         channel = Channel(stream, self._clock)
         channel.post(EntryHello(self._incarnation, self._data_centre))
         peer: AgentPeer | None = None
@@ -283,3 +286,7 @@
         )
         with suppress(asyncio.CancelledError):
             self._listener.agent_lost(peer)
+
+
+async def _connect(address: Address) -> IOStream:
+    return await TCPClient().connect(address.host, address.port, timeout=DIAL_TIMEOUT_S)
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -22,6 +22,7 @@
 from endivetally_policy.held import NextStep
 from endivetally_policy.held import RunEnd
 from endivetally_policy.held import Verdict
+from endivetally_policy.held import Work
 from endivetally_policy.held import choose_agent
 from endivetally_policy.held import next_step
 from endivetally_policy.held.attempts import NEVER_RAN
@@ -30,6 +31,7 @@
 from endivetally_held.agent_links import AgentLinks
 from endivetally_held.agent_links import AgentListener
 from endivetally_held.agent_links import AgentPeer
+from endivetally_held.agent_links import Connect
 from endivetally_held.channel import HEARTBEAT_S
 from endivetally_held.channel import SILENCE_LIMIT_S
 from endivetally_held.holding import HeldTask
@@ -69,6 +71,7 @@
 
     :param incarnation: name of this start of the process.
     :param seed: of the spread of returning callers.
+    :param connect: opens connections to agents.
     """
 
     def __init__(
@@ -79,9 +82,10 @@
         measures: EntryMeasures,
         clock: Callable[[], float] = steady_now,
         seed: int | None = None,
+        connect: Connect | None = None,
     ) -> None:
         self.text = VersionedText(0, OperatorsText((), ()))
-        self.links = AgentLinks(incarnation, data_centre, self, events, clock)
+        self.links = AgentLinks(incarnation, data_centre, self, events, clock, connect)
         self._data_centre = data_centre
         self._events = events
         self._measures = measures
@@ -240,8 +244,8 @@
             reason=reason,
             wait_ms=int(admission.wait_s * 1000),
             slack_ms=int(holding.slack_s * 1000),
-            ahead=round(load.ahead, 2),
-            work=round(load.work, 2),
+            ahead_core_s=round(load.ahead.core_s, 2),
+            job_core_s=round(load.job.core_s, 2),
             capacity=load.capacity,
             free=load.free,
             entries=load.entries,
@@ -272,21 +276,26 @@
 
     def _load(self, holding: Holding) -> Load:
         peers = self._peers_of(holding.service)
-        ahead = sum(
+        before = [
             other.waiting_work
             for other in self._holdings.values()
             if other.service.target_pool == holding.service.target_pool
             and (other.begun or other.start_by <= holding.start_by)
-        )
+        ]
+        rooms = [peer.room for peer in peers]
         return Load(
-            ahead=ahead,
-            work=holding.waiting_work,
-            capacity=sum(peer.room.capacity.cpu for peer in peers) / 1000,
-            free=sum(
-                max(peer.room.free.cpu - peer.room.backlog_cpu, 0) for peer in peers
-            )
-            / 1000,
+            ahead=Work(
+                sum(work.cores for work in before),
+                sum(work.core_s for work in before),
+            ),
+            job=holding.waiting_work,
+            capacity=sum(room.capacity.cpu for room in rooms) / 1000,
+            free=sum(max(room.free.cpu - room.backlog_cpu, 0) for room in rooms) / 1000,
             entries=max((peer.entries for peer in peers), default=1),
+            fits=all(
+                any(room.capacity.covers(step.need) for room in rooms)
+                for step in holding.job.steps
+            ),
         )
 
     def _peers_of(self, service: Service) -> list[AgentPeer]:
--- a/libs/endivetally-held/src/endivetally_held/holding.py
+++ b/libs/endivetally-held/src/endivetally_held/holding.py
@@ -7,6 +7,7 @@
 
 from endivetally_config.text import Service
 from endivetally_policy.held import ExpectedTimes
+from endivetally_policy.held import Work
 
 from endivetally_held.jobs import HeldJob
 from endivetally_held.jobs import JobAnswer
@@ -87,13 +88,15 @@
         return not any(self._left)
 
     @property
-    def waiting_work(self) -> float:
-        """Core-seconds of the tasks that wait here."""
-        return sum(
-            task.step.need.cpu / 1000 * self._run_s[task.key.step]
-            for task in self.tasks.values()
-            if task.state is TaskState.WAITING
-        )
+    def waiting_work(self) -> Work:
+        """Work of the tasks that wait here."""
+        cores = 0.0
+        core_s = 0.0
+        for task in self.tasks.values():
+            if task.state is TaskState.WAITING:
+                cores += task.step.need.cpu / 1000
+                core_s += task.step.need.cpu / 1000 * self.expected_s(task)
+        return Work(cores, core_s)
 
     def expected_s(self, task: HeldTask) -> float:
         """Return the run time to expect of a task."""
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -1,6 +1,8 @@
 """Attempts at tasks, as an agent keeps them."""
 
 import enum
+import statistics
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,9 +15,15 @@
 # expected run time, stands still.
 STALL_FLOOR_S: Final = 0.5
 STALL_FACTOR: Final = 1.5
+# Progress from which a run time can be told.
+TELLING_PERCENT: Final = 5
+# Jobs whose runs must take long, and how long, before a target counts as slow.
+# Declared times are off by some tens of percent.
+SLOW_JOBS: Final = 2
+SLOW_STRETCH: Final = 2.0
 # A run is moved when what is left of it here takes this many times a whole run
 # elsewhere.
-MOVE_FACTOR: Final = 2.0
+MOVE_FACTOR: Final = 1.5
 WHOLE: Final = 100
 
 
@@ -57,12 +65,30 @@
 
 
 def stands_still(run: Run, now: float) -> bool:
-    """Return whether a run had better go elsewhere."""
-    still_s = now - run.moved_at
-    if still_s > max(STALL_FLOOR_S, run.expected_s * STALL_FACTOR):
-        return True
-    elapsed_s = now - run.asked_at
-    if run.percent <= 0 or elapsed_s < max(STALL_FLOOR_S, run.expected_s):
-        return False
-    left_s = elapsed_s * (WHOLE - run.percent) / run.percent
-    return left_s > run.expected_s * MOVE_FACTOR
+    """Return whether a run makes no progress."""
+    return now - run.moved_at > max(STALL_FLOOR_S, run.expected_s * STALL_FACTOR)
+
+
+def stretch_of(run: Run, now: float) -> float | None:
+    """Return the run time that progress promises, relative to the expected one."""
+    if run.percent < TELLING_PERCENT:
+        return None
+    return (now - run.asked_at) / run.percent * WHOLE / max(run.expected_s, 0.001)
+
+
+def find_slowed(runs: Iterable[Run], now: float) -> list[Run]:
+    """Return the runs to move away from a slow target.
+
+    One job may be longer than declared. A target is slow when the runs of several
+    jobs take long on it.
+    """
+    stretches = {run: stretch_of(run, now) for run in runs}
+    known = {run: stretch for run, stretch in stretches.items() if stretch is not None}
+    jobs = {run.task.job for run in known}
+    if len(jobs) < SLOW_JOBS or statistics.median(known.values()) < SLOW_STRETCH:
+        return []
+    return [
+        run
+        for run, stretch in known.items()
+        if stretch * (1 - run.percent / WHOLE) > MOVE_FACTOR
+    ]
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -28,6 +28,7 @@
 from endivetally_held.ports import TargetSilent
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
+from endivetally_held.runs import find_slowed
 from endivetally_held.runs import stands_still
 
 # Longest wait of a look: the lease is renewed three times over.
@@ -227,6 +228,8 @@
                 self._listener.room_changed()
             self._unanswered_looks = 0
             self._take_in(sighting, asked_at)
+            if not self.adopted:
+                await asyncio.sleep(LOOK_RETRY_S)
 
     async def _look(self) -> Sighting:
         if not self.adopted:
@@ -237,17 +240,15 @@
         # alive that nobody watches.
         quiet = self._unanswered_looks > 1
         mandate = self._lease.bare if quiet else self._lease.renew()
-        hurried = self._unanswered_looks or self._stopping()
+        hurried = self._unanswered_looks or self._has_unseen_stops()
         wait_s = 0 if hurried else LOOK_WAIT_S
         return await self._target.look(
             mandate, self._seen, wait_s, wait_s + LOOK_GRACE_S
         )
 
-    def _stopping(self) -> bool:
-        return any(
-            run.state is RunState.STOPPING and run.settled_at
-            for run in self._runs.values()
-        )
+    def _has_unseen_stops(self) -> bool:
+        """Return whether a stopped run may have no end to wait for."""
+        return any(run.settled_at and not run.seen for run in self._runs.values())
 
     async def _unanswered(self, reason: str) -> None:
         self._unanswered_looks += 1
@@ -285,6 +286,7 @@
                 self._take_in_end(ended)
         for running in sighting.running:
             self._take_in_running(running)
+        self._move_slowed()
         listed = {(running.task, running.run) for running in sighting.running}
         for run in list(self._runs.values()):
             settled = run.settled_at and run.settled_at < asked_at
@@ -323,14 +325,20 @@
             run.percent = running.percent
             run.moved_at = now
         if run.state is RunState.RUNNING and stands_still(run, now):
-            self._stop_stalled(run, now)
+            self._move(run, now, 'stalled')
+
+    def _move_slowed(self) -> None:
+        now = self._clock()
+        working = [run for run in self._runs.values() if run.state is RunState.RUNNING]
+        for run in find_slowed(working, now):
+            self._move(run, now, 'slow')
 
-    def _stop_stalled(self, run: Run, now: float) -> None:
+    def _move(self, run: Run, now: float, reason: str) -> None:
         self._events.emit(
             Event.RUN_STOPPED,
             task=str(run.task),
             run=run.number,
-            reason='stalled',
+            reason=reason,
             percent=run.percent,
             elapsed_ms=_milliseconds(now - run.asked_at),
             expected_ms=_milliseconds(run.expected_s),
--- a/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
@@ -3,6 +3,7 @@
 from endivetally_policy.held.admission import HeldAdmission
 from endivetally_policy.held.admission import Load
 from endivetally_policy.held.admission import Verdict
+from endivetally_policy.held.admission import Work
 from endivetally_policy.held.attempts import NextStep
 from endivetally_policy.held.attempts import RunEnd
 from endivetally_policy.held.attempts import next_step
@@ -24,6 +25,7 @@
     'RunEnd',
     'TargetHealth',
     'Verdict',
+    'Work',
     'choose_agent',
     'next_step',
 )
--- a/libs/endivetally-policy/src/endivetally_policy/held/admission.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/admission.py
@@ -10,6 +10,8 @@
 WAIT_SHARE: Final = 0.8
 # Seconds over which refused callers are spread when they return.
 RETURN_SPREAD_S: Final = 2.0
+# Larger targets come with changes of the deployment, not within seconds.
+LARGE_RETRY_S: Final = 60
 
 
 class Verdict(enum.StrEnum):
@@ -25,18 +27,32 @@
 class Load:
     """What an entry knows of the load when a job arrives.
 
-    :param ahead: core-seconds that wait here and go before the job.
-    :param work: core-seconds of the job itself.
+    :param ahead: work that waits here and goes before the job.
+    :param job: the work of the job itself.
     :param capacity: cores of all targets that take work.
     :param free: cores of these that are free.
     :param entries: entries that share them.
+    :param fits: whether some target is large enough for each task.
     """
 
-    ahead: float
-    work: float
+    ahead: 'Work'
+    job: 'Work'
     capacity: float
     free: float
     entries: int
+    fits: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Tasks that wait.
+
+    :param cores: that they take when all of them run.
+    :param core_s: that they use until their ends.
+    """
+
+    cores: float
+    core_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,18 +67,21 @@
 class HeldAdmission:
     """Refuses at once what would wait longer than it can.
 
-    The work that waits here leaves at this entry's share of the capacity.
+    What does not fit into the free cores leaves at this entry's share of the
+    capacity.
     """
 
     def expected_wait_s(self, load: Load) -> float:
         """Return the seconds until the last task of a job starts.
 
-        >>> HeldAdmission().expected_wait_s(Load(8, 2, 100, 4, 2))
-        0.12
+        >>> load = Load(Work(16, 8), Work(4, 2), 100, 10, 2)
+        >>> HeldAdmission().expected_wait_s(load)
+        0.1
         """
+        cores = load.ahead.cores + load.job.cores
+        excess = max(1 - load.free / max(cores, 0.001), 0)
         share = load.capacity / max(load.entries, 1)
-        queued = max(load.ahead + load.work - load.free / max(load.entries, 1), 0)
-        return queued / max(share, 0.001)
+        return (load.ahead.core_s + load.job.core_s) * excess / max(share, 0.001)
 
     def decide(self, load: Load, slack_s: float, *, jitter: float) -> Admission:
         """Admit a job or refuse it with the time after which to return.
@@ -72,6 +91,8 @@
         """
         if load.capacity <= 0:
             return Admission(Verdict.NO_TARGET, 0, 1)
+        if not load.fits:
+            return Admission(Verdict.TOO_LARGE, 0, LARGE_RETRY_S)
         wait_s = self.expected_wait_s(load)
         if wait_s <= slack_s * WAIT_SHARE:
             return Admission(Verdict.ADMITTED, wait_s)
