--- a/libs/endivetally-held/src/endivetally_held/directory.py
+++ b/libs/endivetally-held/src/endivetally_held/directory.py
@@ -134,7 +134,7 @@
                 continue
             try:
                 agent = msgspec.json.decode(row.content, type=AgentRow)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except (ValueError, RecursionError) as error:
                 self._events.emit(Event.ROW_IGNORED, key=key, reason=str(error))
                 continue
             ranked = rank_by_rendezvous(str(agent.address), entries)
