Let nothing wait at a target that fell silent; tell a request's story from logs

Ruled out: the order was lost (the agent refused it when the entry gave up). Change: an agent refuses its backlog when its target is silent, drains or fails, so that the entry places it elsewhere at once. Before: test_nothing_waits_at_a_target_that_fell_silent red. After: green.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -87,6 +87,10 @@
 )
 
 
+# Result of an answer that is as routine as the request itself.
+SERVED: Final = 'completed'
+
+
 class LineBudget:
     """Tokens for lines, refilled at a rate, with one second in hand.
 
@@ -146,7 +150,8 @@
         :param fields: what was decided, from which inputs, how old they were.
         """
         self.counts[event.value] += 1
-        budget = self._routine if event in ROUTINE_EVENTS else self._notable
+        routine = event in ROUTINE_EVENTS or fields.get('result') == SERVED
+        budget = self._routine if routine else self._notable
         if len(self._lines) >= QUEUED_LINES or not budget.take():
             self.dropped[event.value] += 1
             return
--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -140,6 +140,7 @@
     def room_changed(self) -> None:
         """Start what waits, and tell the entries."""
         self._start_waiting()
+        self._refuse_excess()
         self._tell_state_soon()
 
     def target_replaced(self, *, ended: bool) -> None:
@@ -251,7 +252,8 @@
     def _refuse_excess(self) -> None:
         """Refuse what would wait too long, the least urgent first."""
         session = self._session
-        if session is None:
+        if session is None or not session.accepting:
+            self._refuse_backlog()
             return
         limit = session.room.capacity.cpu * BACKLOG_SHARE
         for run in self._backlog.take_excess(limit if session.may_start() else 0):
@@ -326,6 +328,7 @@
             await asyncio.sleep(TICK_S)
             self.peers.lose_silent()
             self._start_waiting()
+            self._refuse_excess()
             if self._clock() - told_at >= HEARTBEAT_S:
                 told_at = self._clock()
                 self._tell_state()
--- /dev/null
+++ b/libs/endivetally-table/src/endivetally_table/memory_feed.py
@@ -0,0 +1,73 @@
+"""A table in memory whose changes can be followed."""
+
+import asyncio
+
+from endivetally_core.errors import TableUnavailable
+
+from endivetally_table.feed import Changes
+from endivetally_table.feed import FeedTable
+from endivetally_table.feed import HistoryLost
+from endivetally_table.feed import Snapshot
+from endivetally_table.memory import MemoryTable
+from endivetally_table.table import Row
+from endivetally_table.table import Transaction
+
+
+class MemoryFeedTable(MemoryTable, FeedTable):
+    """Keeps the history of its changes until it is told to forget it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._newest = 0
+        self._oldest = 0
+        self._history: list[tuple[int, Row | str]] = []
+        self._changed = asyncio.Event()
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply a transaction and add it to the history."""
+        await super().commit(transaction)
+        self._newest += 1
+        for put in transaction.puts:
+            row = self._rows.get(put.key)
+            self._history.append((self._newest, put.key if row is None else row))
+        self._changed.set()
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all rows whose key starts with the prefix."""
+        return Snapshot(tuple(await self.scan(prefix)), self._newest)
+
+    async def changes(self, after: int, wait_s: float) -> Changes:
+        """Wait for changes, for a time at most."""
+        if self.faults.down:
+            raise TableUnavailable('table service is down')
+        if after < self._oldest:
+            raise HistoryLost('memory')
+        if after >= self._newest:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return Changes((), (), self._newest)
+            if after < self._oldest:
+                raise HistoryLost('memory')
+        return self._collect(after)
+
+    def forget_history(self) -> None:
+        """Drop all changes; followers have to read everything again."""
+        self._history.clear()
+        self._oldest = self._newest + 1
+        self._newest += 1
+        self._changed.set()
+
+    def _collect(self, after: int) -> Changes:
+        newest: dict[str, Row | str] = {}
+        for version, change in self._history:
+            if version > after:
+                newest[change if isinstance(change, str) else change.key] = change
+        changed = newest.values()
+        return Changes(
+            tuple(row for row in changed if isinstance(row, Row)),
+            tuple(Row(key, b'', 0) for key in changed if isinstance(key, str)),
+            self._newest,
+        )
--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -25,6 +25,7 @@
         'demo': 'endivetally.demo.command',
         'bench': 'endivetally.bench.command',
         'capacity': 'endivetally.commands.capacity',
+        'explain': 'endivetally.commands.explain',
         'scenario': 'endivetally.scenarios.command',
     },
 )
--- /dev/null
+++ b/tests/adapter/test_worker.py
@@ -0,0 +1,167 @@
+"""Orders to a worker and its reports, as they stand on the wire."""
+
+import json
+
+import pytest
+from adapter.wire import WireWorker
+from adapter.wire import serve
+from endivetally_held.jobs import TaskKey
+from endivetally_held.ports import EndedTask
+from endivetally_held.ports import Mandate
+from endivetally_held.ports import OrderEnd
+from endivetally_held.ports import RunningTask
+from endivetally_held.ports import TargetReplaced
+from endivetally_held.ports import TargetReport
+from endivetally_held.ports import TargetSilent
+from endivetally_platform.worker import WorkerDialer
+from endivetally_platform.worker import decode_report
+from endivetally_policy.held import Resources
+from endivetally_policy.held import RunEnd
+
+TASK = TaskKey('5c0e7a21d94b36f8', 1, 17)
+REPORT = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'dc',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpus': 0},
+    'labels': ['a', 'r1-3'],
+    'clockMs': 482113,
+    'sequence': 4,
+}
+
+
+@pytest.fixture
+async def wired():
+    worker = WireWorker()
+    async with serve(worker.application()) as address:
+        report = TargetReport('i-1', 'pool', address, Resources(1, 1), False, 0, 0)
+        target = WorkerDialer().dial(report)
+        yield worker, target
+        await target.close()
+
+
+async def test_start_on_the_wire(wired):
+    worker, target = wired
+    answer = await target.start(TASK, 2, 'payload', Mandate(7, 486000))
+    assert (answer.end, answer.clock_ms) == (OrderEnd.ACCEPTED, 5)
+    assert worker.orders == [
+        (
+            'run-start',
+            {
+                'task': '5c0e7a21d94b36f8.0.1.17',
+                'run': 2,
+                'spec': 'payload',
+                'deadlineMs': 486000,
+                'fencingToken': 7,
+            },
+            'i-1',
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    ('status', 'reason', 'end'),
+    [
+        (409, 'fence', OrderEnd.FENCED),
+        (409, 'old', OrderEnd.OLD_RUN),
+        (409, 'late', OrderEnd.TOO_LATE),
+        (409, 'room', OrderEnd.NO_ROOM),
+        (400, '', OrderEnd.MALFORMED),
+        (421, '', OrderEnd.OTHER_TARGET),
+        (429, '', OrderEnd.UNHEALTHY),
+        (503, '', OrderEnd.UNHEALTHY),
+    ],
+)
+@pytest.mark.parametrize('call', ['start', 'stop'])
+async def test_ends_of_orders(wired, call, status, reason, end):
+    worker, target = wired
+    worker.answers[f'run-{call}'] = (status, {'clockMs': 9, 'reason': reason})
+    if call == 'start':
+        answer = await target.start(TASK, 1, '', Mandate(7, 1))
+    else:
+        answer = await target.stop(TASK, 1, Mandate(7))
+    assert answer.end is end
+
+
+async def test_look(wired):
+    worker, target = wired
+    worker.answers['hold'] = (
+        200,
+        {
+            'clockMs': 8,
+            'running': [['5c0e7a21d94b36f8.0.1.17', 2, '', 41]],
+            'ended': [[58, 'aa.0.0.9', 1, 'done', '']],
+        },
+    )
+    sighting = await target.look(Mandate(7, 486000), 57, 0.2, 1)
+    assert sighting.clock_ms == 8
+    assert sighting.running == (RunningTask(TASK, 2, 41),)
+    assert sighting.ended == (EndedTask(58, TaskKey('aa', 0, 9), 1, RunEnd.DONE),)
+    assert worker.orders[0][1] == {
+        'fencingToken': 7,
+        'lastSeen': 57,
+        'deadlineMs': 486000,
+        'waitMs': 200,
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'error'),
+    [
+        (421, {}, TargetReplaced),
+        (409, {'reason': 'fence'}, TargetReplaced),
+        (503, {}, TargetSilent),
+        (200, {'clockMs': 1}, TargetSilent),
+        (
+            200,
+            {'clockMs': 1, 'running': [['odd', 1, '', 1]], 'ended': []},
+            TargetSilent,
+        ),
+        (200, b'\xff', TargetSilent),
+        (200, b'[' * 200_000, TargetSilent),
+    ],
+)
+async def test_unusable_looks(wired, status, body, error):
+    worker, target = wired
+    worker.answers['hold'] = (status, body)
+    with pytest.raises(error):
+        await target.look(Mandate(7), 0, 0, 1)
+
+
+async def test_nobody_answers():
+    report = TargetReport('i-1', 'p', '127.0.0.1:1', Resources(1, 1), False, 0, 0)
+    target = WorkerDialer().dial(report)
+    answer = await target.start(TASK, 1, '', Mandate(1, 1))
+    assert answer.end is OrderEnd.UNANSWERED
+    with pytest.raises(TargetSilent):
+        await target.look(Mandate(1), 0, 0, 0.2)
+    await target.close()
+
+
+def test_report():
+    report = decode_report('i-1', json.dumps(REPORT).encode())
+    assert report == TargetReport(
+        'i-1', 'pool', '10.0.0.1:80', Resources(16000, 32768), False, 482113, 4
+    )
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'\xff\xfe',
+        b'{}',
+        json.dumps({**REPORT, 'state': 'elsewhere'}).encode(),
+        json.dumps({**REPORT, 'state': 3}).encode(),
+        json.dumps({**REPORT, 'service': ''}).encode(),
+        json.dumps({**REPORT, 'sequence': 'four'}).encode(),
+        json.dumps({**REPORT, 'capacity': None}).encode(),
+        b'[' * 200_000,
+    ],
+)
+def test_unusable_reports(body):
+    with pytest.raises((ValueError, RecursionError)):
+        decode_report('i-1', body)
--- /dev/null
+++ b/tests/core/test_events.py
@@ -0,0 +1,78 @@
+"""Events: their list, their budget, and readers that stand still."""
+
+import json
+import logging
+import pathlib
+import re
+import threading
+
+from endivetally_core import events as module
+from endivetally_core.events import Event
+from endivetally_core.events import EventHandler
+from endivetally_core.events import EventLog
+from endivetally_core.events import LineBudget
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
+
+
+def collect():
+    lines = []
+    return lines, EventLog('entry-1', 'entry-1.00ff', write=lines.append)
+
+
+def test_line():
+    lines, log = collect()
+    log.emit(Event.JOB_REFUSED, job='5c0e', reason='overloaded')
+    log.close()
+    line = json.loads(b''.join(lines))
+    assert line['event'] == 'job_refused'
+    assert line['process'] == 'entry-1'
+    assert line['incarnation'] == 'entry-1.00ff'
+    assert (line['job'], line['reason']) == ('5c0e', 'overloaded')
+    assert line['steady_s'] > 0
+
+
+def test_budget_keeps_refusals_before_routine():
+    lines, log = collect()
+    for number in range(1000):
+        log.emit(Event.JOB_ANSWERED, job=str(number), result='refused')
+        log.emit(Event.TASK_SENT, job=str(number))
+    log.close()
+    written = [json.loads(line)['event'] for line in b''.join(lines).splitlines()]
+    assert written.count('task_sent') <= module.ROUTINE_LINES_PER_S * 2
+    assert written.count('job_answered') >= module.NOTABLE_LINES_PER_S - 1
+    assert log.counts['task_sent'] == 1000
+    assert log.dropped['task_sent'] > 0
+    assert 'lines_dropped' in written
+
+
+def test_reader_that_stands_still_does_not_block():
+    gate = threading.Event()
+    log = EventLog('p', 'p.1', write=lambda lines: gate.wait())
+    for _ in range(3):
+        log.emit(Event.PROCESS_PAUSED, paused_ms=1)
+    log.close(timeout_s=0.01)
+    gate.set()
+
+
+def test_budget_is_refilled():
+    now = [0.0]
+    budget = LineBudget(2, lambda: now[0])
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    now[0] = 0.5
+    assert [budget.take() for _ in range(2)] == [True, False]
+
+
+def test_records_of_libraries_are_events():
+    lines, log = collect()
+    record = logging.makeLogRecord(
+        {'name': 'tornado', 'levelname': 'ERROR', 'msg': 'odd %s', 'args': ('thing',)}
+    )
+    EventHandler(log).emit(record)
+    log.close()
+    assert json.loads(b''.join(lines))['message'] == 'odd thing'
+
+
+def test_page_lists_the_events():
+    listed = set(re.findall(r'^\| `([a-z_]+)` \|', PAGE.read_text(), re.MULTILINE))
+    assert {event.value for event in Event} <= listed
--- a/tests/held/test_entry.py
+++ b/tests/held/test_entry.py
@@ -148,6 +148,29 @@
     play(scenario)
 
 
+def test_nothing_waits_at_a_target_that_fell_silent():
+    async def scenario(world):
+        filling = [
+            asyncio.ensure_future(
+                world.submit('entry-0', job(f'f{number}', count=10, estimate_s=1))
+            )
+            for number in range(2)
+        ]
+        await asyncio.sleep(0.05)
+        began = world.loop.time()
+        waiting = asyncio.ensure_future(
+            world.submit('entry-0', job('a', count=2, deadline_s=8, estimate_s=1))
+        )
+        await asyncio.sleep(0.05)
+        assert world.agents['agent-0'].waiting == 1
+        world.targets['agent-0'].faults.silent = True
+        assert (await waiting).result is Result.COMPLETED
+        assert world.loop.time() - began < 3
+        await asyncio.gather(*filling)
+
+    play(scenario, run_s=1)
+
+
 def test_abandoned_job_is_stopped():
     async def scenario(world):
         with pytest.raises(TimeoutError):
