--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -62,7 +62,6 @@
     JOB_ANSWERED = 'job_answered'
     JOB_ABANDONED = 'job_abandoned'
     TASK_SENT = 'task_sent'
-    TASK_ENDED = 'task_ended'
     TASK_REQUEUED = 'task_requeued'
     RUN_STARTED = 'run_started'
     RUN_REFUSED = 'run_refused'
@@ -79,7 +78,6 @@
     (
         Event.JOB_RECEIVED,
         Event.TASK_SENT,
-        Event.TASK_ENDED,
         Event.RUN_STARTED,
         Event.RUN_ENDED,
         Event.AGENT_STATE_CHANGED,
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -90,6 +90,7 @@
         self._next_runs: dict[str, int] = {}
         self._drain_until: float | None = None
         self._closed = False
+        self._told_unready = ''
         self._stack = AsyncExitStack()
 
     @property
@@ -324,11 +325,23 @@
                 self.links.lose_all('paused')
             now = self._clock()
             self._expire(now, list(self._holdings.values()))
+            self._tell_readiness()
             if now - beat_at >= HEARTBEAT_S:
                 beat_at = now
                 self.links.beat(Alive())
             self._placer.place_soon()
 
+    def _tell_readiness(self) -> None:
+        reason = self.unready_reason()
+        if reason != self._told_unready:
+            self._told_unready = reason
+            self._events.emit(
+                Event.READINESS_CHANGED,
+                reason=reason,
+                agents=len(self.links.peers),
+                text=self.text.version,
+            )
+
     def _expire(self, now: float, holdings: Iterable[Holding]) -> None:
         for holding in holdings:
             late_at = holding.arrived_at + holding.objective_s * LATE_FACTOR
