--- a/tests/held/test_never_twice.py
+++ b/tests/held/test_never_twice.py
@@ -16,7 +16,6 @@
 async def call(world, rng, number, tally):
     """Hand a job in until it has a final answer, as the platform's callers do."""
     identifier = f'j{number}'
-    began = world.loop.time()
     answer = None
     for _ in range(4):
         entry = rng.choice(world.entry_names)
@@ -39,47 +38,64 @@
         await asyncio.sleep(RESEND_S)
 
 
+async def kill(world, rng, span, start):
+    """Kill a process and start it again."""
+    names = world.entry_names if start == world.start_entry else world.agent_names
+    name = rng.choice(names)
+    world.nodes[name].kill()
+    await asyncio.sleep(span)
+    if not world.nodes[name].alive:
+        start(name)
+
+
+async def freeze(world, rng, span):
+    """Let a process stand still."""
+    node = world.nodes[rng.choice(world.entry_names + world.agent_names)]
+    suspension = node.suspension
+    world.loop.stop_node(suspension)
+    await asyncio.sleep(span)
+    if node.suspension is suspension:
+        world.loop.resume_node(suspension)
+
+
+async def cut(world, rng, span):
+    """Hold up what an entry and an agent send, one way or both."""
+    pair = (rng.choice(world.agent_names), rng.choice(world.entry_names))
+    pairs = rng.choice(([pair], [pair[::-1]], [pair, pair[::-1]]))
+    for each in pairs:
+        world.network.cut(*each)
+    await asyncio.sleep(span)
+    for each in pairs:
+        world.network.heal(*each)
+
+
+async def crash(world, rng, span):
+    """End a target's life; another begins at once."""
+    agent = rng.choice(world.agent_names)
+    world.targets[agent].crash()
+    await world.new_target(agent)
+
+
+async def lose_orders(world, rng, span):
+    """Leave some orders unanswered; they are carried out seconds later."""
+    target = world.targets[rng.choice(world.agent_names)]
+    target.faults.unanswered = 0.2
+    await asyncio.sleep(span)
+    target.faults.unanswered = 0
+
+
 async def harm(world, rng):
     """One random fault and its end."""
-    agent = rng.choice(world.agent_names)
-    entry = rng.choice(world.entry_names)
-    kind = rng.choice(
-        ('kill_entry', 'kill_agent', 'freeze', 'cut', 'one_way', 'crash', 'orders')
-    )
     span = rng.choice((0.3, 0.7, 1.5, 4))
-    node = world.nodes[rng.choice((agent, entry))]
-    pairs = [(agent, entry), (entry, agent)]
-    if kind == 'one_way':
-        pairs = pairs[: rng.choice((1, 2))][-1:]
-    if kind == 'kill_entry':
-        world.nodes[entry].kill()
-        await asyncio.sleep(span)
-        if not world.nodes[entry].alive:
-            world.start_entry(entry)
-    elif kind == 'kill_agent':
-        world.nodes[agent].kill()
-        await asyncio.sleep(span)
-        if not world.nodes[agent].alive:
-            world.start_agent(agent)
-    elif kind == 'freeze':
-        suspension = node.suspension
-        world.loop.stop_node(suspension)
-        await asyncio.sleep(span)
-        if node.suspension is suspension:
-            world.loop.resume_node(suspension)
-    elif kind in {'cut', 'one_way'}:
-        for pair in pairs:
-            world.network.cut(*pair)
-        await asyncio.sleep(span)
-        for pair in pairs:
-            world.network.heal(*pair)
-    elif kind == 'crash':
-        world.targets[agent].crash()
-        await world.new_target(agent)
-    else:
-        world.targets[agent].faults.unanswered = 0.2
-        await asyncio.sleep(span)
-        world.targets[agent].faults.unanswered = 0
+    faults = (
+        lambda: kill(world, rng, span, world.start_entry),
+        lambda: kill(world, rng, span, world.start_agent),
+        lambda: freeze(world, rng, span),
+        lambda: cut(world, rng, span),
+        lambda: crash(world, rng, span),
+        lambda: lose_orders(world, rng, span),
+    )
+    await rng.choice(faults)()
 
 
 async def play(seed):
