--- a/libs/endivetally-core/src/endivetally_core/clock.py
+++ b/libs/endivetally-core/src/endivetally_core/clock.py
@@ -27,7 +27,7 @@
     >>> moments = iter([0.0, 0.1, 3.0])
     >>> watch = PauseWatch(0.4, lambda: next(moments))
     >>> watch.look(), watch.look()
-    (0.0, 2.9)
+    (0, 2.9)
     """
 
     def __init__(
