Use one backoff, list the agents of a pool once a pass, drop what nothing used

Ruled out: one class for the two sides' links; entry and agent keep other state. Change: Backoff lies in endivetally_core.

--- a/libs/endivetally-held/src/endivetally_held/agent_links.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_links.py
@@ -6,9 +6,9 @@
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Final
 
+from endivetally_core.backoff import Backoff
 from endivetally_core.clock import steady_now
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import MalformedMessage
@@ -73,12 +73,16 @@
             self._in_flight.popleft()
         for _, count, need in self._in_flight:
             for _ in range(count):
-                self._occupy(need)
+                self.reserve(need)
         return before != (self.pool, room.accepting)
 
     def reserve(self, need: Resources) -> None:
-        """Count a task that is about to be sent."""
-        self._occupy(need)
+        """Count a task that is sent, or is about to be."""
+        room = self.room
+        if room.free.covers(need):
+            room.free = room.free.minus(need)
+        else:
+            room.backlog_cpu += need.cpu
 
     def send(
         self,
@@ -109,13 +113,6 @@
         """Order the end of runs."""
         self.channel.post(StopRuns(tasks))
 
-    def _occupy(self, need: Resources) -> None:
-        room = self.room
-        if room.free.covers(need):
-            room.free = room.free.minus(need)
-        else:
-            room.backlog_cpu += need.cpu
-
 
 class AgentListener(ABC):
     """Told what agents say."""
@@ -206,12 +203,12 @@
 
     async def _keep(self, address: Address) -> None:
         """Keep a link to an address, as long as it is in the directory."""
-        delay_s = FIRST_REDIAL_S
+        backoff = Backoff(FIRST_REDIAL_S)
         told = False
         while True:
             try:
                 await self._serve(address)
-                delay_s = FIRST_REDIAL_S
+                backoff.reset()
                 told = False
             except (OSError, StreamClosedError, TimeoutError) as error:
                 if not told:
@@ -221,8 +218,7 @@
                         address=str(address),
                         reason=f'{type(error).__name__}: {error}',
                     )
-            await asyncio.sleep(delay_s)
-            delay_s = min(delay_s * 2, LONGEST_REDIAL_S)
+            await backoff.wait(LONGEST_REDIAL_S)
 
     async def _serve(self, address: Address) -> None:
         stream = await self._connect(address)
@@ -293,8 +289,7 @@
             tasks=len(peer.tasks),
             heard_ms_ago=int((self._clock() - peer.channel.heard_at) * 1000),
         )
-        with suppress(asyncio.CancelledError):
-            self._listener.agent_lost(peer)
+        self._listener.agent_lost(peer)
 
 
 async def _connect(address: Address) -> IOStream:
--- a/libs/endivetally-held/src/endivetally_held/directory.py
+++ b/libs/endivetally-held/src/endivetally_held/directory.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 import msgspec
+from endivetally_core.backoff import Backoff
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.events import Event
@@ -55,22 +56,6 @@
     address: Address
 
 
-class Backoff:
-    """Delays of repeated calls, doubling up to a limit."""
-
-    def __init__(self) -> None:
-        self._delay_s = FIRST_RETRY_S
-
-    def reset(self) -> None:
-        """Begin again with the first delay."""
-        self._delay_s = FIRST_RETRY_S
-
-    async def wait(self) -> None:
-        """Sleep for the next delay."""
-        await asyncio.sleep(self._delay_s)
-        self._delay_s = min(self._delay_s * 2, LONGEST_RETRY_S)
-
-
 class EntryRow(msgspec.Struct, frozen=True):
     """What an entry writes about itself.
 
@@ -86,14 +71,14 @@
     table: FeedTable, key: str, row: AgentRow | EntryRow, events: EventLog
 ) -> None:
     """Write the row of a process, and repeat it until the table answers."""
-    backoff = Backoff()
+    backoff = Backoff(FIRST_RETRY_S)
     put = Put(key, msgspec.json.encode(row))
     while True:
         try:
             await table.commit(Transaction((), (put,)))
         except (TableUnavailable, TableConflict) as error:
             events.emit(Event.TABLE_LOST, call='announce', reason=str(error))
-            await backoff.wait()
+            await backoff.wait(LONGEST_RETRY_S)
             continue
         events.emit(Event.ROW_WRITTEN, key=key)
         return
@@ -160,7 +145,7 @@
 class RowFollower:
     """Keeps a copy of the rows under a prefix of a table.
 
-    :param on_rows: called with all rows after each change, newest first read.
+    :param on_rows: called with all rows once they are read and after each change.
     """
 
     def __init__(
@@ -180,7 +165,7 @@
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        backoff = Backoff()
+        backoff = Backoff(FIRST_RETRY_S)
         while True:
             try:
                 await self._follow()
@@ -189,7 +174,7 @@
                 self._version = None
             except TableUnavailable as error:
                 self._note_available(available=False, reason=str(error))
-                await backoff.wait()
+                await backoff.wait(LONGEST_RETRY_S)
                 continue
             self._note_available(available=True)
             backoff.reset()
@@ -203,15 +188,12 @@
             return
         changes = await self._table.changes(self._version, FEED_WAIT_S)
         self._version = max(self._version, changes.version)
-        relevant = [row for row in changes.rows if row.key.startswith(self._prefix)]
-        relevant.extend(
-            row for row in changes.deleted if row.key.startswith(self._prefix)
-        )
-        for row in changes.rows:
-            self._rows[row.key] = row
-        for gone in changes.deleted:
-            self._rows.pop(gone.key, None)
-        if relevant:
+        written = [row for row in changes.rows if row.key.startswith(self._prefix)]
+        removed = [row for row in changes.deleted if row.key in self._rows]
+        self._rows.update((row.key, row) for row in written)
+        for row in removed:
+            del self._rows[row.key]
+        if written or removed:
             self._on_rows(self._rows)
 
     def _note_available(self, *, available: bool, reason: str = '') -> None:
--- a/libs/endivetally-held/src/endivetally_held/placer.py
+++ b/libs/endivetally-held/src/endivetally_held/placer.py
@@ -1,6 +1,7 @@
 """Sends the tasks of held jobs to agents, the most urgent jobs first."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 
@@ -16,6 +17,19 @@
 from endivetally_held.messages import RunOrder
 
 
+class _Pass:
+    """The agents of a pool during one pass over the waiting jobs.
+
+    :param peers: those that take work.
+    """
+
+    def __init__(self, peers: list[AgentPeer]) -> None:
+        self.peers = {peer.name: peer for peer in peers}
+        self.rooms = [peer.room for peer in peers]
+        # A task of so many processors, or more, has found no room.
+        self.full_cpu = math.inf
+
+
 class Placer:
     """Uses the room that agents tell.
 
@@ -58,32 +72,32 @@
         """Send what fits, the most urgent first."""
         self._due = False
         now = self._clock()
-        full: dict[str, int] = {}
+        passes: dict[str, _Pass] = {}
         waiting = [each for each in self._holdings.values() if each.waiting]
         for holding in sorted(waiting, key=_urgency):
             ready = holding.ready_tasks(now)
             if ready and now < holding.deadline_at:
-                self._place_job(holding, ready, full)
+                pool = holding.service.target_pool
+                if pool not in passes:
+                    passes[pool] = _Pass(self._links.peers_of(pool))
+                self._place_job(holding, ready, passes[pool])
 
     def _place_job(
-        self, holding: Holding, ready: list[HeldTask], full: dict[str, int]
+        self, holding: Holding, ready: list[HeldTask], through: '_Pass'
     ) -> None:
-        pool = holding.service.target_pool
-        peers = {peer.name: peer for peer in self._links.peers_of(pool)}
-        rooms = [peer.room for peer in peers.values()]
         batches: dict[tuple[str, int], list[HeldTask]] = {}
         for task in ready:
             need = task.step.need
-            if need.cpu >= full.get(pool, need.cpu + 1):
+            if need.cpu >= through.full_cpu:
                 break
-            room = choose_agent(rooms, need, self._data_centre, task.avoid)
+            room = choose_agent(through.rooms, need, self._data_centre, task.avoid)
             if room is None:
-                full[pool] = need.cpu
+                through.full_cpu = need.cpu
                 break
-            peers[room.name].reserve(need)
+            through.peers[room.name].reserve(need)
             batches.setdefault((room.name, task.key.step), []).append(task)
         for batch, tasks in batches.items():
-            self._send(holding, peers[batch[0]], tasks)
+            self._send(holding, through.peers[batch[0]], tasks)
 
     def _send(self, holding: Holding, peer: AgentPeer, tasks: list[HeldTask]) -> None:
         now = self._clock()
