Give up jobs that can't be in time, and let the first ones wait for targets

For 0.5 s after their start entries refused everything (147 times no_target) while targets were about to report. Letting these jobs wait was no gain by itself: the queue went by latest start, so the jobs that were late already went first and made the next ones late, and those that had not begun were kept until three times their objective. Change: (1) an entry counts agents that have just started or become known as joining for the 1.5 s in which their targets report, and holds the first jobs; (2) jobs that are late go last; (3) a job that has not begun is given up, with 503 and a time to come back, once it can't be in time.

--- a/libs/endivetally-held/src/endivetally_held/agent_links.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_links.py
@@ -38,6 +38,9 @@
 DIAL_TIMEOUT_S: Final = 0.5
 FIRST_REDIAL_S: Final = 0.1
 LONGEST_REDIAL_S: Final = 1.0
+# Targets report to their agents every 1.5 s; an agent of which nothing was heard
+# for longer has no target.
+TARGET_REPORT_S: Final = 1.5
 
 Connect = Callable[[Address], Awaitable[IOStream]]
 
@@ -153,6 +156,8 @@
         self._events = events
         self._clock = clock
         self._surplus: set[Address] = set()
+        # When an agent became known or was linked, until its target is told.
+        self._awaited_since: dict[Address, float] = {}
         self._dials: dict[Address, asyncio.Task[None]] = {}
         self._connect = connect or _connect
 
@@ -164,12 +169,19 @@
             if peer.pool == pool and peer.room.accepting
         ]
 
+    @property
+    def awaited(self) -> int:
+        """Agents that have just started, or become known, and lack a target yet."""
+        since = self._clock() - TARGET_REPORT_S
+        return sum(began_at > since for began_at in self._awaited_since.values())
+
     def set_agents(self, wanted: set[Address]) -> None:
         """Link to the agents at these addresses.
 
         Other links end once none of our tasks runs there.
         """
         for address in wanted - set(self._dials):
+            self._awaited_since[address] = self._clock()
             self._dials[address] = asyncio.create_task(self._keep(address))
         self._surplus = set(self._dials) - wanted
         self._end_surplus()
@@ -199,6 +211,7 @@
         busy = {peer.address for peer in self.peers.values() if peer.tasks}
         for address in self._surplus - busy:
             self._dials.pop(address).cancel()
+            self._awaited_since.pop(address, None)
         self._surplus &= busy
 
     async def _keep(self, address: Address) -> None:
@@ -247,6 +260,7 @@
             # The same agent under two addresses.
             return None
         self.peers[peer.name] = peer
+        self._awaited_since[address] = self._clock()
         self._events.emit(Event.AGENT_LINKED, agent=peer.name, agents=len(self.peers))
         self._take(peer, batch[1:])
         return peer
@@ -266,6 +280,8 @@
                 self._listener.attempt_ended(peer, message)
 
     def _take_state(self, peer: AgentPeer, state: TargetState) -> None:
+        if state.accepting:
+            self._awaited_since.pop(peer.address, None)
         if peer.take_state(state):
             self._events.emit(
                 Event.AGENT_STATE_CHANGED,
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -18,6 +18,7 @@
 from endivetally_policy.held import ExpectedTimes
 from endivetally_policy.held import NextStep
 from endivetally_policy.held import RunEnd
+from endivetally_policy.held import is_hopeless
 from endivetally_policy.held import next_step
 from endivetally_policy.held.attempts import NEVER_RAN
 
@@ -50,8 +51,6 @@
 REFUSED_DELAY_S: Final = 0.02
 # Answers leave this long before the caller's deadline.
 ANSWER_TIME_S: Final = 0.03
-# A job is late, and of little use, beyond so many times its objective.
-LATE_FACTOR: Final = 3
 NO_AGENT_RETRY_S: Final = 1
 # Ended jobs whose run numbers are remembered: 20 s at 100 jobs a second; a copy
 # of a job arrives within a few seconds of its end.
@@ -342,13 +341,16 @@
                 text=self.text.version,
             )
 
+    def _wait_reason(self, holding: Holding) -> str:
+        able = self.links.peers_of(holding.service.target_pool)
+        return 'overloaded' if able else 'no_target'
+
     def _expire(self, now: float, holdings: Iterable[Holding]) -> None:
         for holding in holdings:
-            late_at = holding.arrived_at + holding.objective_s * LATE_FACTOR
             if now >= holding.deadline_at - ANSWER_TIME_S:
                 self._give_up(holding, 'deadline')
-            elif not holding.touched and now >= late_at - holding.chain_s:
-                self._give_up(holding, 'overloaded')
+            elif is_hopeless(holding.in_queue, now):
+                self._give_up(holding, self._wait_reason(holding))
 
 
 _NEVER_SENT: Final = frozenset(
--- a/libs/endivetally-held/src/endivetally_held/holding.py
+++ b/libs/endivetally-held/src/endivetally_held/holding.py
@@ -7,6 +7,7 @@
 
 from endivetally_config.text import Service
 from endivetally_policy.held import ExpectedTimes
+from endivetally_policy.held import WaitingJob
 from endivetally_policy.held import Work
 
 from endivetally_held.jobs import HeldJob
@@ -65,7 +66,6 @@
         self.waiters = 0
         # Attempts that may have run: sent, and not refused since.
         self.touched = 0
-        self.begun = False
         self._run_s = [
             expected.expect(service.name, step.estimate_s) for step in job.steps
         ]
@@ -83,6 +83,16 @@
         self.waiting = len(self.tasks)
         self._left = [step.count for step in job.steps]
 
+    @property
+    def begun(self) -> bool:
+        """Whether a task may have run."""
+        return bool(self.touched)
+
+    @property
+    def in_queue(self) -> WaitingJob:
+        """What its place in the queue depends on."""
+        return WaitingJob(self.begun, self.start_by)
+
     @property
     def complete(self) -> bool:
         """Whether every task is done."""
@@ -119,7 +129,6 @@
         """Take in that an attempt was sent to an agent."""
         task.state = TaskState.SENT
         task.agent = agent
-        self.begun = True
         self.touched += 1
         self.waiting -= 1
 
--- a/libs/endivetally-held/src/endivetally_held/intake.py
+++ b/libs/endivetally-held/src/endivetally_held/intake.py
@@ -66,6 +66,7 @@
             capacity=load.capacity,
             free=load.free,
             entries=load.entries,
+            joining=load.joining,
         )
         return JobAnswer(Result.REFUSED, reason, retry_after_s)
 
@@ -88,17 +89,20 @@
             and (other.begun or other.start_by <= holding.start_by)
         ]
         rooms = [peer.room for peer in peers]
+        capacity = sum(room.capacity.cpu for room in rooms) / 1000
+        joining = self._links.awaited
         return Load(
             ahead=Work(
                 sum(work.cores for work in before),
                 sum(work.core_s for work in before),
             ),
             job=holding.waiting_work,
-            capacity=sum(room.capacity.cpu for room in rooms) / 1000,
+            capacity=capacity + joining * capacity / max(len(rooms), 1),
             free=sum(max(room.free.cpu - room.backlog_cpu, 0) for room in rooms) / 1000,
             entries=max((peer.entries for peer in peers), default=1),
             fits=all(
                 any(room.capacity.covers(step.need) for room in rooms)
                 for step in holding.job.steps
             ),
+            joining=joining,
         )
--- a/libs/endivetally-held/src/endivetally_held/placer.py
+++ b/libs/endivetally-held/src/endivetally_held/placer.py
@@ -8,6 +8,7 @@
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 from endivetally_policy.held import choose_agent
+from endivetally_policy.held import urgency
 
 from endivetally_held.agent_links import AgentLinks
 from endivetally_held.agent_links import AgentPeer
@@ -74,7 +75,8 @@
         now = self._clock()
         passes: dict[str, _Pass] = {}
         waiting = [each for each in self._holdings.values() if each.waiting]
-        for holding in sorted(waiting, key=_urgency):
+        waiting.sort(key=lambda holding: urgency(holding.in_queue, now))
+        for holding in waiting:
             ready = holding.ready_tasks(now)
             if ready and now < holding.deadline_at:
                 pool = holding.service.target_pool
@@ -122,8 +124,3 @@
             backlog_cpu=peer.room.backlog_cpu,
             heard_ms_ago=int((now - peer.channel.heard_at) * 1000),
         )
-
-
-def _urgency(holding: Holding) -> tuple[bool, float]:
-    """Order jobs: those that have begun first, then by their latest start."""
-    return (not holding.begun, holding.start_by)
--- a/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
@@ -13,6 +13,9 @@
 from endivetally_policy.held.pace import slow_evidence
 from endivetally_policy.held.placing import AgentRoom
 from endivetally_policy.held.placing import choose_agent
+from endivetally_policy.held.queueing import WaitingJob
+from endivetally_policy.held.queueing import is_hopeless
+from endivetally_policy.held.queueing import urgency
 from endivetally_policy.held.resources import Resources
 from endivetally_policy.held.resources import Room
 
@@ -28,8 +31,11 @@
     'RunEnd',
     'TargetHealth',
     'Verdict',
+    'WaitingJob',
     'Work',
     'choose_agent',
+    'is_hopeless',
     'next_step',
     'slow_evidence',
+    'urgency',
 )
--- a/libs/endivetally-policy/src/endivetally_policy/held/admission.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/admission.py
@@ -33,6 +33,7 @@
     :param free: cores of these that are free.
     :param entries: entries that share them.
     :param fits: whether some target is large enough for each task.
+    :param joining: targets whose agents are there and that are about to report.
     """
 
     ahead: 'Work'
@@ -41,6 +42,7 @@
     free: float
     entries: int
     fits: bool = True
+    joining: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +70,7 @@
     """Refuses at once what would wait longer than it can.
 
     What does not fit into the free cores leaves at this entry's share of the
-    capacity.
+    capacity. After a start the first jobs wait for targets that are about to join.
     """
 
     def expected_wait_s(self, load: Load) -> float:
@@ -90,6 +92,8 @@
         :param jitter: from 0 to 1, spreads the return of callers.
         """
         if load.capacity <= 0:
+            if load.joining:
+                return Admission(Verdict.ADMITTED, 0)
             return Admission(Verdict.NO_TARGET, 0, 1)
         if not load.fits:
             return Admission(Verdict.TOO_LARGE, 0, LARGE_RETRY_S)
--- a/tests/held/test_entry.py
+++ b/tests/held/test_entry.py
@@ -119,6 +119,36 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ('agents_back', 'result'),
+    [(True, Result.COMPLETED), (False, Result.REFUSED)],
+)
+def test_first_jobs_after_a_start_wait_for_targets(agents_back, result):
+    async def scenario(world):
+        for name in (*world.agent_names, 'entry-0'):
+            world.nodes[name].kill()
+        await asyncio.sleep(1)
+        world.start_entry('entry-0')
+        await asyncio.sleep(0.05)
+        began = world.loop.time()
+        first = job('a', estimate_s=1, deadline_s=8)
+        waiting = asyncio.ensure_future(world.submit('entry-0', first))
+        await asyncio.sleep(0.2)
+        if agents_back:
+            for name in world.agent_names:
+                await world.new_target(name)
+                world.start_agent(name)
+        answer = await waiting
+        assert answer.result is result
+        if not agents_back:
+            # The latest start that is in time: 1.6 times 1 s and 60 ms, less 1 s.
+            assert world.loop.time() - began < 0.7
+            assert answer.reason == 'no_target'
+        assert bool(world.ledger.runs) is agents_back
+
+    play(scenario, run_s=1)
+
+
 def test_crowd_is_refused_at_once_and_the_rest_is_in_time():
     async def scenario(world):
         began = world.loop.time()
--- a/tests/policy/held/test_decisions.py
+++ b/tests/policy/held/test_decisions.py
@@ -101,6 +101,10 @@
         assert len(times) > 1
         assert min(times) >= 1
 
+    def test_first_jobs_wait_for_targets_that_join(self):
+        load = Load(Work(0, 0), Work(1, 1), 0, 0, 1, fits=False, joining=3)
+        assert HeldAdmission().decide(load, 0.1, jitter=0).verdict is Verdict.ADMITTED
+
     @pytest.mark.parametrize(
         ('capacity', 'fits', 'verdict'),
         [(0, True, Verdict.NO_TARGET), (16, False, Verdict.TOO_LARGE)],
