Count what an entry's tasks hold as its share of the room

Cause: an entry expected its queue to drain at the capacity over the number of entries. Ruled out: stale views of the room (the refusals came from entries that held much). Change: the share is at least what its tasks hold now. Waiting and running cores are counted by step, no longer over all tasks at each arrival.

--- a/libs/endivetally-held/src/endivetally_held/holding.py
+++ b/libs/endivetally-held/src/endivetally_held/holding.py
@@ -80,8 +80,9 @@
             for number, step in enumerate(job.steps)
             for task in _tasks_of(job, number, step)
         }
-        self.waiting = len(self.tasks)
+        self._waiting = [step.count for step in job.steps]
         self._left = [step.count for step in job.steps]
+        self._running_cpu = 0
 
     @property
     def begun(self) -> bool:
@@ -98,19 +99,27 @@
         """Whether every task is done."""
         return not any(self._left)
 
+    @property
+    def waiting(self) -> int:
+        """Tasks that wait here."""
+        return sum(self._waiting)
+
     @property
     def waiting_work(self) -> Work:
         """Work of the tasks that wait here."""
-        if not self.waiting:
-            return Work(0, 0)
         cores: float = 0
         core_s: float = 0
-        for task in self.tasks.values():
-            if task.state is TaskState.WAITING:
-                cores += task.step.need.cpu / 1000
-                core_s += task.step.need.cpu / 1000 * self.expected_s(task)
+        for number, count in enumerate(self._waiting):
+            of_step = count * self.job.steps[number].need.cpu / 1000
+            cores += of_step
+            core_s += of_step * self._run_s[number]
         return Work(cores, core_s)
 
+    @property
+    def running_cores(self) -> float:
+        """Cores of the attempts that are under way."""
+        return self._running_cpu / 1000
+
     def expected_s(self, task: HeldTask) -> float:
         """Return the run time to expect of a task."""
         return self._run_s[task.key.step]
@@ -130,17 +139,20 @@
         task.state = TaskState.SENT
         task.agent = agent
         self.touched += 1
-        self.waiting -= 1
+        self._waiting[task.key.step] -= 1
+        self._running_cpu += task.step.need.cpu
 
     def note_waiting(self, task: HeldTask) -> None:
         """Take in that an attempt has ended and another has to follow."""
         task.state = TaskState.WAITING
-        self.waiting += 1
+        self._waiting[task.key.step] += 1
+        self._running_cpu -= task.step.need.cpu
 
     def note_done(self, task: HeldTask) -> None:
         """Take in the end of a task."""
         task.state = TaskState.DONE
         self._left[task.key.step] -= 1
+        self._running_cpu -= task.step.need.cpu
 
     def _longest_chain(self) -> float:
         chains: list[float] = []
--- a/libs/endivetally-held/src/endivetally_held/intake.py
+++ b/libs/endivetally-held/src/endivetally_held/intake.py
@@ -66,6 +66,7 @@
             capacity=load.capacity,
             free=load.free,
             entries=load.entries,
+            running=round(load.running, 1),
             joining=load.joining,
         )
         return JobAnswer(Result.REFUSED, reason, retry_after_s)
@@ -82,11 +83,15 @@
 
     def _load(self, holding: Holding, others: Iterable[Holding]) -> Load:
         peers = self._links.peers_of(holding.service.target_pool)
-        before = [
-            other.waiting_work
+        sharing = [
+            other
             for other in others
             if other.service.target_pool == holding.service.target_pool
-            and (other.begun or other.start_by <= holding.start_by)
+        ]
+        before = [
+            other.waiting_work
+            for other in sharing
+            if other.begun or other.start_by <= holding.start_by
         ]
         rooms = [peer.room for peer in peers]
         capacity = sum(room.capacity.cpu for room in rooms) / 1000
@@ -104,5 +109,6 @@
                 any(room.capacity.covers(step.need) for room in rooms)
                 for step in holding.job.steps
             ),
+            running=sum(other.running_cores for other in sharing),
             joining=joining,
         )
--- a/libs/endivetally-policy/src/endivetally_policy/held/admission.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/admission.py
@@ -32,6 +32,7 @@
     :param capacity: cores of all targets that take work.
     :param free: cores of these that are free.
     :param entries: entries that share them.
+    :param running: cores that the tasks of this entry hold.
     :param fits: whether some target is large enough for each task.
     :param joining: targets whose agents are there and that are about to report.
     """
@@ -42,6 +43,7 @@
     free: float
     entries: int
     fits: bool = True
+    running: float = 0
     joining: int = 0
 
 
@@ -70,7 +72,8 @@
     """Refuses at once what would wait longer than it can.
 
     What does not fit into the free cores leaves at this entry's share of the
-    capacity. After a start the first jobs wait for targets that are about to join.
+    capacity, or at what its tasks hold already if that is more: their room goes to
+    its next ones. After a start the first jobs wait for targets that are about to join.
     """
 
     def expected_wait_s(self, load: Load) -> float:
@@ -82,7 +85,7 @@
         """
         cores = load.ahead.cores + load.job.cores
         excess = max(1 - load.free / max(cores, 0.001), 0)
-        share = load.capacity / max(load.entries, 1)
+        share = max(load.capacity / max(load.entries, 1), load.running)
         return (load.ahead.core_s + load.job.core_s) * excess / max(share, 0.001)
 
     def decide(self, load: Load, slack_s: float, *, jitter: float) -> Admission:
