Serve the open connections of a leaving entry until they are quiet

Cause: an entry that had SIGTERM refused everything 2.6 s later, when the balancer sends it nothing new. Ruled out: new connections (the listener is closed by then). Change: it goes on to take what ends before it has to, until 0.5 s passed without a request or an answer. Its test (test_entry_that_ends_serves_open_connections_until_they_are_quiet) failed before.

--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -52,6 +52,9 @@
 # Answers leave this long before the caller's deadline.
 ANSWER_TIME_S: Final = 0.03
 NO_AGENT_RETRY_S: Final = 1
+# Callers with open connections send the next request within a second or so; an
+# entry that leaves waits for it so long.
+QUIET_S: Final = 0.5
 # Ended jobs whose run numbers are remembered: 20 s at 100 jobs a second; a copy
 # of a job arrives within a few seconds of its end.
 REMEMBERED_JOBS: Final = 2000
@@ -88,6 +91,7 @@
         self._placer = Placer(self._holdings, self.links, data_centre, events, clock)
         self._next_runs: dict[str, int] = {}
         self._drain_until: float | None = None
+        self._busy_at: float = 0
         self._closed = False
         self._told_unready = ''
         self._stack = AsyncExitStack()
@@ -140,6 +144,7 @@
 
         A cancelled call abandons the job, unless another call waits for it.
         """
+        self._busy_at = self._clock()
         holding = self._holdings.get(job.identifier)
         if holding is None:
             service = self.text.text.service(job.service)
@@ -188,10 +193,14 @@
         self._drain_until = self._clock() + limit_s
 
     async def finish_drain(self) -> None:
-        """Take nothing any more, answer what is open, and give up the rest."""
-        self._closed = True
-        while self._holdings and self._clock() < (self._drain_until or 0):
+        """Answer what is open and what callers still send, and give up the rest."""
+        self._busy_at = self._clock()
+        while self._clock() < (self._drain_until or 0):
+            idle_s = self._clock() - self._busy_at
+            if not self._holdings and idle_s > QUIET_S:
+                break
             await asyncio.sleep(TICK_S)
+        self._closed = True
         for holding in list(self._holdings.values()):
             self._give_up(holding, 'draining')
 
@@ -217,6 +226,7 @@
             task.run = first
 
     def _forget(self, holding: Holding) -> None:
+        self._busy_at = self._clock()
         self._holdings.pop(holding.job.identifier, None)
         highest = max(task.run for task in holding.tasks.values())
         self._next_runs[holding.job.identifier] = highest + 1
--- a/tests/held/test_entry.py
+++ b/tests/held/test_entry.py
@@ -213,6 +213,23 @@
     play(scenario, run_s=2)
 
 
+def test_entry_that_ends_serves_open_connections_until_they_are_quiet():
+    async def scenario(world):
+        entry = world.entries['entry-0']
+        entry.begin_drain(5)
+        draining = asyncio.ensure_future(entry.finish_drain())
+        for number in range(8):
+            await asyncio.sleep(0.3)
+            answer = await world.submit('entry-0', job(f'j{number}'))
+            assert answer.result is Result.COMPLETED
+        began = world.loop.time()
+        await draining
+        assert world.loop.time() - began < 1
+        assert (await world.submit('entry-0', job('late'))).result is Result.REFUSED
+
+    play(scenario)
+
+
 def test_entry_that_ends_refuses_and_answers_what_is_open():
     async def scenario(world):
         entry = world.entries['entry-0']
