Add a soak: random faults from outside against the real programs

Callers keep their connections. What callers and targets saw is checked against the promises.

The wire store of tests/adapter moved to endivetally_platform.standins, with its faults; the wire worker there is an HTTP face of the target stand-in that tests/held use. FleetProcess has a base, ChildProcess, for programs without a ready file.

Copies of a job in flight at two entries run twice: callers send again only after silence or a broken connection, so the soak does too.

--- a/libs/endivetally/src/endivetally/cli.py
+++ b/libs/endivetally/src/endivetally/cli.py
@@ -27,6 +27,7 @@
         'capacity': 'endivetally.commands.capacity',
         'explain': 'endivetally.commands.explain',
         'scenario': 'endivetally.scenarios.command',
+        'soak': 'endivetally.commands.soak',
     },
 )
 
--- a/libs/endivetally/src/endivetally/fleet/process.py
+++ b/libs/endivetally/src/endivetally/fleet/process.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Final
 
@@ -19,42 +21,18 @@
     """A process of the fleet did not start, or did not do what it must."""
 
 
-class FleetProcess:
-    """A named child process that writes its address to a ready file.
+class ChildProcess:
+    """A named child process.
 
-    :param name: name within the fleet.
-    :param ready_file: the process writes its ``host:port`` there.
     :param log_file: receives standard output and standard error.
     """
 
-    def __init__(
-        self,
-        name: str,
-        ready_file: Path,
-        log_file: Path,
-    ) -> None:
+    def __init__(self, name: str, log_file: Path) -> None:
         self.name = name
-        self._ready_file = ready_file
         self._log_file = log_file
         self._process: asyncio.subprocess.Process | None = None
-        self._address: Address | None = None
         self._signalled = False
 
-    @property
-    def address(self) -> Address:
-        """Address of its HTTP server, as of its last start.
-
-        :raises FleetError: before the first start.
-        """
-        if self._address is None:
-            raise FleetError(f'{self.name} was never started')
-        return self._address
-
-    @property
-    def url(self) -> str:
-        """Base URL of its HTTP server."""
-        return f'http://{self.address}'
-
     @property
     def pid(self) -> int:
         """Process id of its last start.
@@ -85,15 +63,17 @@
             return ''
         return self._log_file.read_text(errors='replace')
 
-    async def start(self, arguments: list[str]) -> None:
-        """Start it and wait until it listens.
+    async def spawn(
+        self, arguments: list[str], environment: Mapping[str, str] | None = None
+    ) -> None:
+        """Start it.
 
         :param arguments: arguments of the Python interpreter.
-        :raises FleetError: when it exits early or is not ready in time.
+        :param environment: variables beside those of this process.
+        :raises FleetError: when it runs already.
         """
         if self.alive:
             raise FleetError(f'{self.name} runs already')
-        self._ready_file.unlink(missing_ok=True)
         self._signalled = False
         with self._log_file.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -102,8 +82,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env={**os.environ, **(environment or {})},
             )
-        self._address = await self._wait_ready()
 
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Send SIGTERM and return the exit code; SIGKILL after the timeout."""
@@ -128,6 +108,10 @@
         """Send SIGTERM and return at once."""
         self._signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP."""
+        self._running().send_signal(signal.SIGHUP)
+
     def freeze(self) -> None:
         """Send SIGSTOP."""
         self._running().send_signal(signal.SIGSTOP)
@@ -148,6 +132,51 @@
         with contextlib.suppress(ProcessLookupError):
             self._running().send_signal(number)
 
+
+class FleetProcess(ChildProcess):
+    """A child process that writes its address to a ready file.
+
+    :param name: name within the fleet.
+    :param ready_file: the process writes its ``host:port`` there.
+    :param log_file: receives standard output and standard error.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ready_file: Path,
+        log_file: Path,
+    ) -> None:
+        super().__init__(name, log_file)
+        self._ready_file = ready_file
+        self._address: Address | None = None
+
+    @property
+    def address(self) -> Address:
+        """Address of its HTTP server, as of its last start.
+
+        :raises FleetError: before the first start.
+        """
+        if self._address is None:
+            raise FleetError(f'{self.name} was never started')
+        return self._address
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP server."""
+        return f'http://{self.address}'
+
+    async def start(self, arguments: list[str]) -> None:
+        """Start it and wait until it listens.
+
+        :param arguments: arguments of the Python interpreter.
+        :raises FleetError: when it exits early or is not ready in time.
+        """
+        if not self.alive:
+            self._ready_file.unlink(missing_ok=True)
+        await self.spawn(arguments)
+        self._address = await self._wait_ready()
+
     async def _wait_ready(self) -> Address:
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -4,11 +4,11 @@
 from contextlib import AsyncExitStack
 
 import pytest
-from adapter.wire import WireStore
 from adapter.wire import serve
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_platform.http import Caller
+from endivetally_platform.standins import WireStore
 from endivetally_platform.store import StoreTable
 from endivetally_table.feed import HistoryLost
 from endivetally_table.memory_feed import MemoryFeedTable
