Start the machines of a soak at once, and end late restarts with it

A restart that was under way when a soak ended could start a process that nobody ended; its errors were told by nobody. Restarts are awaited now. More than 254 machines have no addresses, and are refused. Found by reading; tests/soak pass.

--- a/libs/endivetally/src/endivetally/soak/run.py
+++ b/libs/endivetally/src/endivetally/soak/run.py
@@ -69,9 +69,9 @@
 
 
 async def _populate(stage: Stage, size: SoakSize) -> None:
-    for role, count in (('entry', size.entries), ('agent', size.agents)):
-        for _ in range(count):
-            await stage.add(role)
+    entries = [stage.add('entry') for _ in range(size.entries)]
+    agents = [stage.add('agent') for _ in range(size.agents)]
+    await asyncio.gather(*entries, *agents)
 
 
 async def _play_faults(
--- a/libs/endivetally/src/endivetally/soak/stage.py
+++ b/libs/endivetally/src/endivetally/soak/stage.py
@@ -62,6 +62,8 @@
 # Third part of the addresses: of processes, of proxies before them, and of the
 # proxies of the store for each machine.
 STORE_HOST, PROCESS_NET, PROXY_NET, STORE_NET = range(4)
+# The last part of an address.
+MOST_MACHINES: Final = 254
 
 
 @dataclass(slots=True, eq=False)
@@ -148,6 +150,7 @@
         self.machines: list[Machine] = []
         self.violations: list[str] = []
         self._payloads: set[str] = set()
+        self._restarts: list[asyncio.Future[None]] = []
         self._folder = folder
         self._numbers = itertools.count(1)
         self._lives = itertools.count(1)
@@ -181,16 +184,23 @@
         """End everything that was started."""
         for machine in self.machines:
             machine.removed = True
-        alive = [each for each in self.machines if each.process.alive]
-        await asyncio.gather(*(each.process.kill() for each in alive))
+        await self._kill_all()
+        # A restart that was under way may have started one more.
+        await asyncio.gather(*self._restarts)
+        await self._kill_all()
         self.wire_store.closing.set()
         await asyncio.sleep(LAST_CALLS_S)
         await self._stack.aclose()
         await asyncio.sleep(SUPERVISION_S)
 
     async def add(self, role: str) -> Machine:
-        """Add a machine and start its process."""
+        """Add a machine and start its process.
+
+        :raises FleetError: when there are too many.
+        """
         number = next(self._numbers)
+        if number > MOST_MACHINES:
+            raise FleetError('no free addresses for another machine')
         name = f'{role}-{number}'
         own = f'{self._net}.{PROCESS_NET}.{number}'
         port = FRONT_PORT if role == 'entry' else PEER_PORT
@@ -308,8 +318,11 @@
             ended = [each for each in self.machines if each.ended]
             for machine in ended:
                 machine.restarting = True
-                restart = asyncio.ensure_future(self._restart(machine))
-                self._stack.callback(restart.cancel)
+                self._restarts.append(asyncio.ensure_future(self._restart(machine)))
+
+    async def _kill_all(self) -> None:
+        alive = [each for each in self.machines if each.process.alive]
+        await asyncio.gather(*(each.process.kill() for each in alive))
 
     async def _restart(self, machine: Machine) -> None:
         if machine.process.crashed:
