Excuse calls on kept connections that had fallen silent

Ruled out: a stop of the entry (it logged 2 to 13 jobs in each second of the span). Change: the proxy notes when it loses a piece; a call whose first 0.2 s hold such a moment is not owed an answer. The check was too strict for what the platform allows; it stays as strict for connections that work.

--- a/libs/endivetally/src/endivetally/soak/proxy.py
+++ b/libs/endivetally/src/endivetally/soak/proxy.py
@@ -46,10 +46,12 @@
 class _Connection:
     """Both ends of a connection.
 
+    :param swallowed_at: receives the steady time of each piece that is lost.
     :param silenced: nothing passes any more; neither end is told.
     :param over: set by a reset.
     """
 
+    swallowed_at: list[float]
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     silenced: bool = False
     over: asyncio.Event = field(default_factory=asyncio.Event)
@@ -76,6 +78,7 @@
         self.forward = Direction()
         self.back = Direction()
         self.refusing = False
+        self.swallowed_at: list[float] = []
         self._listen = listen
         self._target = target
         self._connections: set[_Connection] = set()
@@ -114,7 +117,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = _Connection([writer])
+        connection = _Connection(self.swallowed_at, [writer])
         self._connections.add(connection)
         try:
             if not self.refusing:
@@ -163,6 +166,7 @@
         piece = await reader.read(CHUNK_BYTES)
         await direction.passed()
         if connection.silenced:
+            connection.swallowed_at.append(asyncio.get_running_loop().time())
             await connection.over.wait()
         if not piece or connection.over.is_set():
             return
--- a/libs/endivetally/src/endivetally/soak/stage.py
+++ b/libs/endivetally/src/endivetally/soak/stage.py
@@ -57,6 +57,8 @@
 # Processes are looked at, and started again, in this interval.
 SUPERVISION_S: Final = 0.1
 RESTART_S: Final = (0.2, 1.5)
+# Until what a caller sends has reached the proxy, on a busy machine.
+PASSED_S: Final = 0.2
 # Longest wait of a call that has an answer: for changes of the store.
 LAST_CALLS_S: Final = 2.5
 # Third part of the addresses: of processes, of proxies before them, and of the
@@ -121,9 +123,12 @@
         self.disturbed.append((min(now, other_end), max(now, other_end)))
 
     def calm(self, since: float, until: float) -> bool:
-        """Return whether no fault touched it in a span."""
+        """Return whether no fault touched it, or a call to it, in a span."""
         if self.unready_since is not None and until >= self.unready_since:
             return False
+        # A kept connection may have fallen silent long before it is used.
+        if any(since <= at <= since + PASSED_S for at in self.link.swallowed_at):
+            return False
         return all(end < since or start > until for start, end in self.disturbed)
 
     async def _listens(self) -> bool:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -77,6 +77,7 @@
     proxy.silence()
     writer.write(b'second')
     assert await heard(reader) is None
+    assert len(proxy.swallowed_at) == 1
     other_reader, other_writer = await connect()
     other_writer.write(b'new')
     assert await other_reader.read(100) == b'new'
