--- a/libs/endivetally/src/endivetally/soak/faults.py
+++ b/libs/endivetally/src/endivetally/soak/faults.py
@@ -202,7 +202,7 @@
 class StoreFault(Fault):
     """The store misbehaves towards all.
 
-    :param change: switches the fault on.
+    :param faults: fields of the store's faults, with their settings.
     """
 
     def __init__(self, name: str, **faults: float | bool) -> None:
