Serve the two ends of a target's life with one fault of the soak

Cause: found by reading the change. TargetCrash and TargetDrain were the same class but for the method that they call. The programs of the platform are untouched.

--- a/libs/endivetally/src/endivetally/soak/faults.py
+++ b/libs/endivetally/src/endivetally/soak/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from endivetally_platform.standins import WireWorker
 from endivetally_standins.held_target import TargetFaults
 
 from endivetally.soak.proxy import Proxy
@@ -250,28 +251,21 @@
         life.faults = TargetFaults()
 
 
-class TargetCrash(Fault):
-    """The life of a target ends."""
+class TargetEnd(Fault):
+    """The life of a target ends; the next one follows.
 
-    name = 'target_crash'
-
-    async def strike(self, stage: Stage, rng: random.Random) -> None:
-        """Crash one target; the next life follows."""
-        worker = rng.choice(stage.agents).worker
-        if worker is not None:
-            worker.crash()
-
-
-class TargetDrain(Fault):
-    """A target leaves in good order."""
+    :param end: ends it, at once or in good order.
+    """
 
-    name = 'target_drain'
+    def __init__(self, name: str, end: Callable[[WireWorker], None]) -> None:
+        self.name = name
+        self._end = end
 
     async def strike(self, stage: Stage, rng: random.Random) -> None:
-        """Drain one target; the next life follows."""
+        """End the life of one target."""
         worker = rng.choice(stage.agents).worker
         if worker is not None:
-            worker.drain()
+            self._end(worker)
 
 
 class TextChange(Fault):
@@ -333,8 +327,8 @@
     TargetFault('target_hangs', _switch('hangs', setting=True)),
     TargetFault('target_slow', _switch('slow', setting=8)),
     TargetFault('target_late_orders', _switch('unanswered', setting=0.5)),
-    TargetCrash(),
-    TargetDrain(),
+    TargetEnd('target_crash', WireWorker.crash),
+    TargetEnd('target_drain', WireWorker.drain),
     TextChange(),
     KillAll(),
     Replace(),
