--- a/libs/endivetally-entry/src/endivetally_entry/caller_handlers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/caller_handlers.py
@@ -17,6 +17,7 @@
 from endivetally_core.messages import MAX_TASKS_PER_JOB
 from tornado.web import RequestHandler
 
+from endivetally_entry.requests import STARTUP_WAIT_S
 from endivetally_entry.requests import CallerRequest
 from endivetally_entry.requests import Response
 from endivetally_entry.requests import error_response
@@ -27,8 +28,6 @@
 MAX_KEY_LENGTH = 128
 MAX_DEADLINE_MS = 600_000
 BEARER = 'Bearer '
-# A request that arrives before the entry is open waits at most this long.
-STARTUP_WAIT_S = 2
 
 # Kinds of the errors that tornado raises itself, by HTTP status.
 KINDS_BY_STATUS: Final[Mapping[int, ErrorKind]] = MappingProxyType(
--- a/libs/endivetally-entry/src/endivetally_entry/peering.py
+++ b/libs/endivetally-entry/src/endivetally_entry/peering.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import ExecutionState
 from endivetally_core.errors import RequestError
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.messages import AgentNews
@@ -18,6 +19,7 @@
 from endivetally_entry.forwarding import misdirected_reply
 from endivetally_entry.forwarding import never_started_reply
 from endivetally_entry.forwarding import response_reply
+from endivetally_entry.requests import STARTUP_WAIT_S
 from endivetally_entry.requests import CallerRequest
 from endivetally_entry.requests import Response
 from endivetally_entry.requests import error_response
@@ -90,6 +92,8 @@
             peer.link.post(reply)
 
     async def _run_forward(self, message: Forward) -> Response:
+        if not (message.cancel or message.former_owner):
+            await self._wait_until_open()
         config = self._entry.active_config.config
         service = config.find_service(message.service)
         if service is None:
@@ -108,3 +112,17 @@
         if message.former_owner:
             return await router.handle_as_former_owner(request)
         return await router.handle_forwarded(request, cancel=message.cancel)
+
+    async def _wait_until_open(self) -> None:
+        """Wait for the agents, which join after this entry has acquired shards.
+
+        :raises RequestError: when the entry does not open in time.
+        """
+        await self._entry.wait_until_open(STARTUP_WAIT_S)
+        if not self._entry.opened.is_set():
+            # An earlier submission of the key may have run at another entry.
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                self._entry.unready_reason(),
+                execution_state=ExecutionState.UNKNOWN,
+            )
--- a/libs/endivetally-entry/src/endivetally_entry/requests.py
+++ b/libs/endivetally-entry/src/endivetally_entry/requests.py
@@ -11,6 +11,8 @@
 from endivetally_core.errors import RequestError
 
 JSON_CONTENT_TYPE = 'application/json'
+# A request that arrives before the entry is open waits at most this long.
+STARTUP_WAIT_S = 2
 
 
 class ErrorDetails(msgspec.Struct, frozen=True):
