--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -15,7 +15,7 @@
 from endivetally_policy.held.resources import NO_RESOURCES
 
 from endivetally_held.backlog import Backlog
-from endivetally_held.channel import HEARTBEAT_INTERVAL_S
+from endivetally_held.channel import HEARTBEAT_CHECK_S
 from endivetally_held.entry_server import EntryListener
 from endivetally_held.entry_server import EntryPeer
 from endivetally_held.entry_server import EntryServer
@@ -34,13 +34,12 @@
 from endivetally_held.target_client import TargetClientFactory
 from endivetally_held.target_client import TargetReport
 
+# Changed states are sent to the entries at this interval; an entry whose run has ended
+# gets the state at once.
 TICK_INTERVAL_S: Final = 0.05
 # Number of ended target instances that are remembered, so that their delayed reports
 # are ignored.
 REMEMBERED_TARGETS: Final = 64
-# State changes within this time are sent as one message. It is a tenth of the run time
-# of the shortest tasks, which are the ones that wait for free capacity.
-STATE_DELAY_S: Final = 0.01
 DRAIN_POLL_S: Final = 0.05
 # Runs are refused when the backlog exceeds this share of the target's cores. A single
 # entry stays well below it, but entries don't know of each other's requests.
@@ -72,7 +71,9 @@
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._backlog = Backlog()
         self._draining = False
-        self._state_scheduled = False
+        # Entries that get the state in the next event loop iteration.
+        self._state_receivers: set[EntryPeer] = set()
+        self._announced_availability = ('', False)
         self._stack = AsyncExitStack()
 
     @property
@@ -133,16 +134,14 @@
             end=end.value,
             run_ms=run_ms,
         )
-        peer = self.entry_server.find_entry(run.entry)
-        if peer is not None:
-            peer.channel.post(RunEnded(run.task, run.run_number, end, run_ms))
+        self._report_end(run.entry, RunEnded(run.task, run.run_number, end, run_ms))
         self.capacity_changed()
 
     def capacity_changed(self) -> None:
         """Start or refuse waiting runs, and send the new state to the entries."""
         self._start_waiting_runs()
         self._refuse_excess_runs()
-        self._schedule_state()
+        self._mark_state_changed()
 
     def session_lost(self, *, target_ended: bool) -> None:
         """Drop the session with a target instance that rejects its commands.
@@ -154,8 +153,8 @@
 
     def entry_connected(self, peer: EntryPeer) -> None:
         """Send the state of the target to a new entry."""
-        peer.channel.post(self._build_state(peer))
-        self._schedule_state()
+        self._send_state(peer)
+        self._mark_state_changed()
 
     def message_received(self, peer: EntryPeer, message: AnyHeldMessage) -> None:
         """Handle requests to start or stop runs."""
@@ -170,7 +169,7 @@
         self._backlog.remove_matching(lambda run: run.entry == peer.incarnation)
         if self._session is not None:
             self._session.stop_runs_of(peer.incarnation)
-        self._schedule_state()
+        self._mark_state_changed()
 
     async def drain(self, timeout_s: float) -> None:
         """Refuse new runs and wait until the started ones have ended.
@@ -217,7 +216,7 @@
         closing.add_done_callback(self._closing_tasks.discard)
         self._refuse_backlog()
         session.end_all_runs(RunEnd.LOST)
-        self._schedule_state()
+        self._mark_state_changed()
 
     async def _close_session(self) -> None:
         if self._session is not None:
@@ -243,7 +242,7 @@
                 self._refuse_run(run, refusal)
         self._start_waiting_runs()
         self._refuse_excess_runs()
-        self._schedule_state()
+        self._mark_state_changed()
 
     def _find_refusal(self, request: RunRequest, need: Resources) -> RunEnd | None:
         session = self._session
@@ -273,9 +272,7 @@
         self._events.emit(
             Event.RUN_REFUSED, task=str(run.task), run=run.run_number, reason=end.value
         )
-        peer = self.entry_server.find_entry(run.entry)
-        if peer is not None:
-            peer.channel.post(RunEnded(run.task, run.run_number, end))
+        self._report_end(run.entry, RunEnded(run.task, run.run_number, end))
 
     def _start_waiting_runs(self) -> None:
         session = self._session
@@ -297,7 +294,7 @@
             self._refuse_run(run, RunEnd.REFUSED_COMMAND)
         if self._session is not None:
             self._session.stop_runs_of(peer.incarnation, tasks)
-        self._schedule_state()
+        self._mark_state_changed()
 
     def _build_state(self, peer: EntryPeer) -> TargetState:
         entry_count = len(self.entry_server)
@@ -313,9 +310,10 @@
                 peer.handled_sequence,
                 entry_count,
             )
+        pool, accepting = self._availability
         return TargetState(
-            session.report.pool,
-            session.may_start() and not self._draining,
+            pool,
+            accepting,
             session.reservations.capacity,
             session.reservations.free,
             self._backlog.waiting_cpu,
@@ -324,23 +322,57 @@
             entry_count,
         )
 
-    def _schedule_state(self) -> None:
-        if not self._state_scheduled:
-            self._state_scheduled = True
-            asyncio.get_running_loop().call_later(STATE_DELAY_S, self._send_state)
+    @property
+    def _availability(self) -> tuple[str, bool]:
+        """Pool of the target, and whether it accepts runs."""
+        session = self._session
+        if session is None:
+            return ('', False)
+        return (session.report.pool, session.may_start() and not self._draining)
 
-    def _send_state(self) -> None:
-        self._state_scheduled = False
+    def _mark_state_changed(self) -> None:
+        """Send the state with the next tick, or at once if the availability changed."""
         for peer in self.entry_server:
-            peer.channel.post(self._build_state(peer))
+            peer.state_outdated = True
+        availability = self._availability
+        if availability != self._announced_availability:
+            self._announced_availability = availability
+            for peer in self.entry_server:
+                self._send_state_soon(peer)
+
+    def _report_end(self, entry: str, ended: RunEnded) -> None:
+        """Send the end of a run and the state after it in one batch."""
+        peer = self.entry_server.find_entry(entry)
+        if peer is not None:
+            self._send_state_soon(peer)
+            peer.channel.post(ended)
+
+    def _send_state_soon(self, peer: EntryPeer) -> None:
+        if not self._state_receivers:
+            asyncio.get_running_loop().call_soon(self._send_to_receivers)
+        self._state_receivers.add(peer)
+
+    def _send_to_receivers(self) -> None:
+        receivers, self._state_receivers = self._state_receivers, set()
+        for peer in receivers:
+            self._send_state(peer)
+
+    def _send_state(self, peer: EntryPeer) -> None:
+        peer.state_outdated = False
+        peer.channel.post(self._build_state(peer))
 
     async def _run_periodic_work(self) -> None:
-        last_sent_at = self._clock()
+        last_heartbeat_at = self._clock()
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.entry_server.disconnect_silent()
             self._start_waiting_runs()
             self._refuse_excess_runs()
-            if self._clock() - last_sent_at >= HEARTBEAT_INTERVAL_S:
-                last_sent_at = self._clock()
-                self._send_state()
+            if self._availability != self._announced_availability:
+                self._mark_state_changed()
+            for peer in self.entry_server:
+                if peer.state_outdated:
+                    self._send_state(peer)
+            if self._clock() - last_heartbeat_at >= HEARTBEAT_CHECK_S:
+                last_heartbeat_at = self._clock()
+                self.entry_server.send_heartbeats()
--- a/libs/endivetally-held/src/endivetally_held/agent_connections.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_connections.py
@@ -18,11 +18,9 @@
 from endivetally_policy.held import AgentLoad
 from endivetally_policy.held import Resources
 from endivetally_policy.held.resources import NO_RESOURCES
-from tornado.iostream import IOStream
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from endivetally_held.channel import Channel
+from endivetally_held.channel import ChannelHandler
 from endivetally_held.jobs import TaskKey
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
@@ -42,7 +40,7 @@
 # within this time after it was added or connected is assumed to have none.
 TARGET_REPORT_INTERVAL_S: Final = 1.5
 
-Connect = Callable[[Address], Awaitable[IOStream]]
+Connect = Callable[[Address, Callable[[], Channel]], Awaitable[Channel]]
 
 
 class AgentPeer:
@@ -144,6 +142,50 @@
         """Handle the end of a connection; the agent's runs end in bounded time."""
 
 
+class _Connection(ChannelHandler):
+    """One connection to an agent, from its handshake to its end.
+
+    ``identified`` tells whether the agent has identified itself, as soon as it has or
+    can no longer do so.
+
+    :param owner: handles the messages of the agent.
+    """
+
+    def __init__(self, owner: 'AgentConnections', address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        self.identified: asyncio.Future[bool] = loop.create_future()
+        self.ended = asyncio.Event()
+        self._owner = owner
+        self._address = address
+        self._peer: AgentPeer | None = None
+
+    def channel_opened(self, channel: Channel) -> None:
+        """Identify the entry to the agent."""
+        channel.post(self._owner.hello)
+
+    def batch_received(self, channel: Channel, batch: list[AnyHeldMessage]) -> None:
+        """Handle the messages of the agent, the first of which identifies it."""
+        if self._peer is None:
+            hello = batch[0] if batch else None
+            if not isinstance(hello, AgentHello):
+                raise MalformedMessage('the first message is not an AgentHello')
+            peer = AgentPeer(hello, channel, self._address)
+            self._owner.add_peer(peer)
+            self._peer = peer
+            if not self.identified.done():
+                self.identified.set_result(True)
+            batch = batch[1:]
+        self._owner.handle_messages(self._peer, batch)
+
+    def channel_closed(self, channel: Channel, reason: str) -> None:
+        """Remove the agent."""
+        self.ended.set()
+        if not self.identified.done():
+            self.identified.set_result(False)
+        if self._peer is not None:
+            self._owner.remove_peer(self._peer, reason)
+
+
 class AgentConnections:
     """Maintains a connection to each agent of a set, in one asyncio task per agent.
 
@@ -161,8 +203,7 @@
         connect: Connect | None = None,
     ) -> None:
         self.peers: dict[str, AgentPeer] = {}
-        self._incarnation = incarnation
-        self._data_centre = data_centre
+        self.hello = EntryHello(incarnation, data_centre)
         self._listener = listener
         self._events = events
         self._clock = clock
@@ -200,19 +241,19 @@
         self._unwanted = set(self._connection_tasks) - wanted
         self._close_unwanted()
 
-    def send_heartbeats(self, message: AnyHeldMessage) -> None:
-        """Send a heartbeat to every agent, and disconnect those that timed out."""
+    def send_heartbeats(self) -> None:
+        """Disconnect agents that timed out, send the others heartbeats if necessary."""
         self._close_unwanted()
         for peer in list(self.peers.values()):
             if peer.channel.timed_out:
-                self._disconnect(peer, 'silent')
+                peer.channel.close('silent')
             else:
-                peer.channel.post(message)
+                peer.channel.send_heartbeat()
 
     def disconnect_all(self, reason: str) -> None:
         """Close all connections; they are reopened after a delay."""
         for peer in list(self.peers.values()):
-            self._disconnect(peer, reason)
+            peer.channel.close(reason)
 
     def close(self) -> None:
         """Close all connections for good."""
@@ -221,6 +262,43 @@
         self._connection_tasks.clear()
         self.disconnect_all('closing')
 
+    def add_peer(self, peer: AgentPeer) -> None:
+        """Add an agent that has identified itself.
+
+        :raises LinkClosed: when it is already connected under another address.
+        """
+        former = self.peers.get(peer.name)
+        if former is not None and not former.channel.closed:
+            raise LinkClosed(f'{peer.name} is connected at {former.address}')
+        self.peers[peer.name] = peer
+        self._joining_since[peer.address] = self._clock()
+        self._events.emit(Event.AGENT_LINKED, agent=peer.name, agents=len(self.peers))
+
+    def handle_messages(self, peer: AgentPeer, batch: list[AnyHeldMessage]) -> None:
+        """Handle the messages of an agent."""
+        for message in batch:
+            if self.peers.get(peer.name) is not peer:
+                return
+            if isinstance(message, TargetState):
+                self._handle_state(peer, message)
+            elif isinstance(message, RunEnded):
+                peer.active_tasks.discard(message.task)
+                self._listener.run_ended(peer, message)
+
+    def remove_peer(self, peer: AgentPeer, reason: str) -> None:
+        """Remove an agent whose connection has ended."""
+        if self.peers.get(peer.name) is not peer:
+            return
+        del self.peers[peer.name]
+        self._events.emit(
+            Event.AGENT_LOST,
+            agent=peer.name,
+            reason=reason,
+            tasks=len(peer.active_tasks),
+            heard_ms_ago=int((self._clock() - peer.channel.last_received_at) * 1000),
+        )
+        self._listener.agent_disconnected(peer)
+
     def _close_unwanted(self) -> None:
         busy = {peer.address for peer in self.peers.values() if peer.active_tasks}
         for address in self._unwanted - busy:
@@ -237,7 +315,7 @@
                 await self._run_connection(address)
                 backoff.reset()
                 failure_reported = False
-            except (OSError, StreamClosedError, TimeoutError) as error:
+            except OSError as error:
                 if not failure_reported:
                     failure_reported = True
                     self._events.emit(
@@ -248,52 +326,21 @@
             await backoff.wait(LONGEST_RECONNECT_S)
 
     async def _run_connection(self, address: Address) -> None:
-        stream = await self._connect(address)
-        channel = Channel(stream, self._clock)
-        channel.post(EntryHello(self._incarnation, self._data_centre))
-        peer: AgentPeer | None = None
-        reason = 'closed'
+        """Keep a connection until it ends.
+
+        :raises OSError: when there is no connection, or nobody who identifies
+            themselves as an agent.
+        """
+        connection = _Connection(self, address)
+        channel = await self._connect(address, lambda: Channel(connection, self._clock))
         try:
-            peer = await asyncio.wait_for(
-                self._handshake(channel, address), CONNECT_TIMEOUT_S
-            )
-            if peer is not None:
-                await self._receive_messages(peer)
-        except (LinkClosed, MalformedMessage, TimeoutError) as error:
-            reason = f'{type(error).__name__}: {error}'
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                identified = await connection.identified
+            if not identified:
+                raise ConnectionError('no agent has identified itself')
+            await connection.ended.wait()
         finally:
-            channel.close()
-            if peer is not None:
-                self._disconnect(peer, reason)
-
-    async def _handshake(self, channel: Channel, address: Address) -> AgentPeer | None:
-        batch = await channel.receive()
-        if not isinstance(batch[0], AgentHello):
-            raise MalformedMessage('the first message is not an AgentHello')
-        peer = AgentPeer(batch[0], channel, address)
-        former = self.peers.get(peer.name)
-        if former is not None and not former.channel.closed:
-            # The agent is already connected under another address.
-            return None
-        self.peers[peer.name] = peer
-        self._joining_since[address] = self._clock()
-        self._events.emit(Event.AGENT_LINKED, agent=peer.name, agents=len(self.peers))
-        self._handle_messages(peer, batch[1:])
-        return peer
-
-    async def _receive_messages(self, peer: AgentPeer) -> None:
-        while True:
-            self._handle_messages(peer, await peer.channel.receive())
-
-    def _handle_messages(self, peer: AgentPeer, batch: list[AnyHeldMessage]) -> None:
-        for message in batch:
-            if self.peers.get(peer.name) is not peer:
-                return
-            if isinstance(message, TargetState):
-                self._handle_state(peer, message)
-            elif isinstance(message, RunEnded):
-                peer.active_tasks.discard(message.task)
-                self._listener.run_ended(peer, message)
+            channel.close('closing')
 
     def _handle_state(self, peer: AgentPeer, state: TargetState) -> None:
         if state.accepting:
@@ -309,22 +356,11 @@
             )
         self._listener.agent_state_changed(peer)
 
-    def _disconnect(self, peer: AgentPeer, reason: str) -> None:
-        peer.channel.close()
-        if self.peers.get(peer.name) is not peer:
-            return
-        del self.peers[peer.name]
-        self._events.emit(
-            Event.AGENT_LOST,
-            agent=peer.name,
-            reason=reason,
-            tasks=len(peer.active_tasks),
-            heard_ms_ago=int((self._clock() - peer.channel.last_received_at) * 1000),
-        )
-        self._listener.agent_disconnected(peer)
-
 
-async def _connect(address: Address) -> IOStream:
-    return await TCPClient().connect(
-        address.host, address.port, timeout=CONNECT_TIMEOUT_S
-    )
+async def _connect(address: Address, create_channel: Callable[[], Channel]) -> Channel:
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        _, channel = await loop.create_connection(
+            create_channel, address.host, address.port
+        )
+    return channel
--- a/libs/endivetally-held/src/endivetally_held/channel.py
+++ b/libs/endivetally-held/src/endivetally_held/channel.py
@@ -3,111 +3,171 @@
 All entries connect to the same port of an agent, and each connection times out and is
 closed on its own. The pair sockets of `endivetally_core.links` would need one port for
 each peer, and the platform provides sixteen.
+
+A channel is an asyncio protocol: received messages reach their handler in the event
+loop iteration in which they arrive, and reading costs one system call.
 """
 
 import asyncio
 import struct
+from abc import ABC
+from abc import abstractmethod
 from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Iterator
 from typing import Final
 
 from endivetally_core.clock import monotonic_now
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import MalformedMessage
-from tornado.iostream import IOStream
-from tornado.iostream import StreamClosedError
 
 from endivetally_held.messages import MAX_BATCH_BYTES
+from endivetally_held.messages import Alive
 from endivetally_held.messages import AnyHeldMessage
 from endivetally_held.messages import decode_batch
 from endivetally_held.messages import encode_batch
 
-# A peer that sends nothing for this time, which is six heartbeats, counts as lost.
-# What it sends later on the same connection is never processed.
+# A peer that sends nothing for this time counts as lost. What it sends later on the
+# same connection is never processed.
 PEER_TIMEOUT_S: Final = 0.6
-HEARTBEAT_INTERVAL_S: Final = 0.1
+# A heartbeat is sent on a channel on which nothing was sent for the longer time, which
+# is checked at the shorter interval. A peer hears something every 0.25 s at least.
+HEARTBEAT_AFTER_S: Final = 0.15
+HEARTBEAT_CHECK_S: Final = 0.1
 _LENGTH: Final = struct.Struct('>I')
 
 
-class Channel:
-    """Ordered channel; messages posted in one event loop iteration share a batch.
+class ChannelHandler(ABC):
+    """Receives the events of channels."""
+
+    @abstractmethod
+    def channel_opened(self, channel: 'Channel') -> None:
+        """Handle a new connection."""
+
+    @abstractmethod
+    def batch_received(self, channel: 'Channel', batch: list[AnyHeldMessage]) -> None:
+        """Handle messages that were sent together.
+
+        :raises LinkClosed: to close the channel.
+        :raises MalformedMessage: to close the channel.
+        """
+
+    @abstractmethod
+    def channel_closed(self, channel: 'Channel', reason: str) -> None:
+        """Handle the end of a connection; called once, whoever has closed it."""
 
-    :param stream: an open connection, which the channel owns and closes.
-    """
+
+class Channel(asyncio.Protocol):
+    """Ordered channel; messages posted in one event loop iteration share a batch."""
 
     def __init__(
-        self, stream: IOStream, clock: Callable[[], float] = monotonic_now
+        self, handler: ChannelHandler, clock: Callable[[], float] = monotonic_now
     ) -> None:
         self.last_received_at = clock()
+        self._last_sent_at = self.last_received_at
+        self._handler = handler
         self._clock = clock
-        self._stream = stream
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
         self._outbox: list[AnyHeldMessage] = []
-        self._loop = asyncio.get_running_loop()
-        with suppress(OSError, ValueError):
-            stream.set_nodelay(True)
 
     @property
     def closed(self) -> bool:
-        """Whether the connection is closed."""
-        return self._stream.closed()
+        """Whether the connection is closed, or not open yet."""
+        return self._transport is None
 
     @property
     def timed_out(self) -> bool:
         """Whether nothing was received for longer than the peer timeout."""
         return self._clock() - self.last_received_at > PEER_TIMEOUT_S
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to use an open connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._handler.channel_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the messages that are complete."""
+        self._received += data
+        try:
+            for batch in self._take_batches():
+                self._handler.batch_received(self, batch)
+        except LinkClosed as error:
+            self.close(str(error))
+        except MalformedMessage as error:
+            self.close(f'malformed: {error}')
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the end of a connection that this side has not closed."""
+        if error is not None:
+            self.close(f'{type(error).__name__}: {error}')
+        self.close('closed')
+
     def post(self, message: AnyHeldMessage) -> None:
         """Queue a message; does nothing on a closed channel."""
-        if self.closed:
+        if self._transport is None:
             return
         if not self._outbox:
-            self._loop.call_soon(self._flush)
+            asyncio.get_running_loop().call_soon(self._flush)
         self._outbox.append(message)
 
-    async def receive(self) -> list[AnyHeldMessage]:
-        """Wait for the next batch of messages.
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat unless something was sent recently."""
+        silent_s = self._clock() - self._last_sent_at
+        if silent_s >= HEARTBEAT_AFTER_S and not self._outbox:
+            self._write(_HEARTBEAT_FRAME)
 
-        :raises LinkClosed: when the connection is closed or the batch arrives after
-            the peer timeout.
-        :raises MalformedMessage: when the batch is too large or can't be decoded.
-        """
-        try:
-            header = await self._stream.read_bytes(_LENGTH.size)
-            size = _LENGTH.unpack(header)[0]
-            if size > MAX_BATCH_BYTES:
-                raise MalformedMessage(f'batch of {size} bytes is too large')
-            encoded = await self._stream.read_bytes(size)
-        except StreamClosedError as error:
-            raise LinkClosed('held') from error
-        # A batch delayed beyond the timeout comes from a peer that counts as lost.
-        if self.timed_out:
-            self.close()
-            raise LinkClosed('silent')
-        self.last_received_at = self._clock()
-        return decode_batch(encoded)
-
-    def close(self) -> None:
+    def close(self, reason: str = 'closing') -> None:
         """Close the connection at once; queued messages are dropped."""
+        transport = self._transport
+        if transport is None:
+            return
+        self._transport = None
         self._outbox.clear()
-        self._stream.close()
+        transport.abort()
+        self._handler.channel_closed(self, reason)
+
+    def _take_batches(self) -> Iterator[list[AnyHeldMessage]]:
+        """Yield complete batches until there is none or the channel is closed.
+
+        :raises LinkClosed: when a batch arrives after the peer timeout.
+        :raises MalformedMessage: when a batch is too large or can't be decoded.
+        """
+        received = self._received
+        while self._transport is not None and len(received) >= _LENGTH.size:
+            end = _LENGTH.size + _LENGTH.unpack_from(received)[0]
+            if end > MAX_BATCH_BYTES:
+                raise MalformedMessage(f'batch of {end} bytes is too large')
+            if len(received) < end:
+                return
+            # A batch delayed beyond the timeout comes from a peer that counts as lost.
+            if self.timed_out:
+                raise LinkClosed('silent')
+            self.last_received_at = self._clock()
+            encoded = bytes(received[_LENGTH.size : end])
+            del received[:end]
+            yield decode_batch(encoded)
 
     def _flush(self) -> None:
         batch = self._outbox
-        if not batch or self.closed:
-            return
-        self._outbox = []
-        encoded = encode_batch(batch)
-        try:
-            written = self._stream.write(_LENGTH.pack(len(encoded)) + encoded)
-        except (StreamClosedError, OSError, ValueError):
-            # The write buffer is full or the connection broke; the peer is lost.
-            self.close()
+        if batch:
+            self._outbox = []
+            self._write(_encode_frame(batch))
+
+    def _write(self, frame: bytes) -> None:
+        transport = self._transport
+        if transport is None:
             return
-        written.add_done_callback(_discard_error)
+        self._last_sent_at = self._clock()
+        transport.write(frame)
+        if transport.get_write_buffer_size() > MAX_BATCH_BYTES:
+            self.close('write buffer full')
+
+
+def _encode_frame(batch: list[AnyHeldMessage]) -> bytes:
+    encoded = encode_batch(batch)
+    return _LENGTH.pack(len(encoded)) + encoded
 
 
-def _discard_error(written: 'asyncio.Future[None]') -> None:
-    # ``receive`` reports the closed connection. Retrieving the exception prevents
-    # asyncio's warning about one that was never retrieved.
-    if not written.cancelled():
-        written.exception()
+# All heartbeats are the same, so they are encoded once.
+_HEARTBEAT_FRAME: Final = _encode_frame([Alive()])
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -27,7 +27,7 @@
 from endivetally_held.agent_connections import AgentListener
 from endivetally_held.agent_connections import AgentPeer
 from endivetally_held.agent_connections import Connect
-from endivetally_held.channel import HEARTBEAT_INTERVAL_S
+from endivetally_held.channel import HEARTBEAT_CHECK_S
 from endivetally_held.channel import PEER_TIMEOUT_S
 from endivetally_held.dispatcher import TaskDispatcher
 from endivetally_held.jobs import HeldJob
@@ -35,7 +35,6 @@
 from endivetally_held.jobs import JobResult
 from endivetally_held.lease import CLOCK_DRIFT_FACTOR
 from endivetally_held.lease import LEASE_MS
-from endivetally_held.messages import Alive
 from endivetally_held.messages import RunEnded
 from endivetally_held.metrics import EntryMetrics
 from endivetally_held.open_job import HeldTask
@@ -350,9 +349,9 @@
             now = self._clock()
             self._end_overdue_jobs(now, list(self._open_jobs.values()))
             self._report_readiness()
-            if now - last_heartbeat_at >= HEARTBEAT_INTERVAL_S:
+            if now - last_heartbeat_at >= HEARTBEAT_CHECK_S:
                 last_heartbeat_at = now
-                self.connections.send_heartbeats(Alive())
+                self.connections.send_heartbeats()
             self._dispatcher.schedule_dispatch()
 
     def _report_readiness(self) -> None:
--- a/libs/endivetally-held/src/endivetally_held/entry_server.py
+++ b/libs/endivetally-held/src/endivetally_held/entry_server.py
@@ -1,5 +1,6 @@
 """Server of an agent that accepts the connections of entries."""
 
+import asyncio
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Callable
@@ -11,10 +12,9 @@
 from endivetally_core.errors import MalformedMessage
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
-from tornado.iostream import IOStream
-from tornado.tcpserver import TCPServer
 
 from endivetally_held.channel import Channel
+from endivetally_held.channel import ChannelHandler
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
 from endivetally_held.messages import EntryHello
@@ -25,11 +25,14 @@
     """A connected entry.
 
     :param handled_sequence: sequence of the newest start request that was handled.
+    :param state_outdated: whether the target has changed since the last state that
+        was sent to the entry.
     """
 
     incarnation: str
     channel: Channel
     handled_sequence: int = 0
+    state_outdated: bool = True
 
 
 class EntryListener(ABC):
@@ -48,7 +51,7 @@
         """Handle the end of a connection, after which its runs can't be reported."""
 
 
-class EntryServer(TCPServer):
+class EntryServer(ChannelHandler):
     """Accepts entries and keeps one connection to each.
 
     :param hello: first message to each entry.
@@ -61,12 +64,14 @@
         events: EventLog,
         clock: Callable[[], float],
     ) -> None:
-        super().__init__()
         self._hello = hello
         self._listener = listener
         self._events = events
         self._clock = clock
         self._pause_detector = PauseDetector(clock=clock)
+        self._server: asyncio.Server | None = None
+        # Peers by their channel; ``None`` until the first message has arrived.
+        self._channels: dict[Channel, EntryPeer | None] = {}
         self._peers: dict[str, EntryPeer] = {}
 
     def __len__(self) -> int:
@@ -77,6 +82,15 @@
         """Iterate over a copy of the connected entries."""
         return iter(tuple(self._peers.values()))
 
+    async def listen(self, port: int, host: str) -> None:
+        """Start to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self.create_channel, host, port)
+
+    def create_channel(self) -> Channel:
+        """Return the channel of a new connection."""
+        return Channel(self, self._clock)
+
     def find_entry(self, incarnation: str) -> EntryPeer | None:
         """Return the connected entry with this incarnation, if there is one."""
         return self._peers.get(incarnation)
@@ -84,34 +98,50 @@
     def disconnect_silent(self) -> None:
         """Close the connections on which nothing was received for too long."""
         self._check_pause()
+        self._close_channels('silent', lambda channel: channel.timed_out)
+
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat to the entries that were sent nothing recently."""
         for peer in self:
-            if peer.channel.timed_out:
-                self._disconnect(peer, 'silent')
+            peer.channel.send_heartbeat()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        self.stop()
-        for peer in self:
-            self._disconnect(peer, 'closing')
+        if self._server is not None:
+            self._server.close()
+        self._close_channels('closing')
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one entry until its connection ends."""
-        channel = Channel(stream, self._clock)
+    def channel_opened(self, channel: Channel) -> None:
+        """Identify this agent to whoever has connected."""
+        self._channels[channel] = None
         channel.post(self._hello)
-        peer: EntryPeer | None = None
-        reason = 'closed'
-        try:
-            peer = self._add_entry(await channel.receive(), channel)
-            while True:
-                self._handle_messages(peer, await channel.receive())
-        except LinkClosed as error:
-            reason = str(error)
-        except MalformedMessage as error:
-            reason = f'malformed: {error}'
-        finally:
-            channel.close()
-            if peer is not None:
-                self._disconnect(peer, reason)
+
+    def batch_received(self, channel: Channel, batch: list[AnyHeldMessage]) -> None:
+        """Handle the messages of an entry."""
+        peer = self._channels[channel]
+        if peer is None:
+            peer = self._add_entry(batch, channel)
+            batch = batch[1:]
+        self._check_pause()
+        for message in batch:
+            if channel.closed:
+                raise LinkClosed('paused')
+            self._listener.message_received(peer, message)
+
+    def channel_closed(self, channel: Channel, reason: str) -> None:
+        """Forget an entry that is no longer connected."""
+        peer = self._channels.pop(channel, None)
+        if peer is None:
+            return
+        if self._peers.get(peer.incarnation) is peer:
+            del self._peers[peer.incarnation]
+        self._events.emit(
+            Event.ENTRY_LOST,
+            entry=peer.incarnation,
+            reason=reason,
+            heard_ms_ago=int((self._clock() - channel.last_received_at) * 1000),
+        )
+        self._listener.entry_disconnected(peer)
 
     def _add_entry(self, batch: list[AnyHeldMessage], channel: Channel) -> EntryPeer:
         hello = batch[0] if batch else None
@@ -119,41 +149,27 @@
             raise MalformedMessage('the first message is not an EntryHello')
         former = self._peers.get(hello.entry)
         if former is not None:
-            self._disconnect(former, 'linked again')
+            former.channel.close('linked again')
         peer = EntryPeer(hello.entry, channel)
+        self._channels[channel] = peer
         self._peers[hello.entry] = peer
         self._events.emit(
             Event.ENTRY_LINKED, entry=hello.entry, entries=len(self._peers)
         )
         self._listener.entry_connected(peer)
-        self._handle_messages(peer, batch[1:])
         return peer
 
-    def _handle_messages(self, peer: EntryPeer, batch: list[AnyHeldMessage]) -> None:
-        self._check_pause()
-        for message in batch:
-            if peer.channel.closed:
-                raise LinkClosed('paused')
-            self._listener.message_received(peer, message)
-
     def _check_pause(self) -> None:
         paused_s = self._pause_detector.measure_pause()
         if not paused_s:
             return
         self._events.emit(Event.PROCESS_PAUSED, paused_ms=int(paused_s * 1000))
         # Entries may have given up the requests that arrived during the pause.
-        for peer in self:
-            self._disconnect(peer, 'paused')
+        self._close_channels('paused')
 
-    def _disconnect(self, peer: EntryPeer, reason: str) -> None:
-        peer.channel.close()
-        if self._peers.get(peer.incarnation) is not peer:
-            return
-        del self._peers[peer.incarnation]
-        self._events.emit(
-            Event.ENTRY_LOST,
-            entry=peer.incarnation,
-            reason=reason,
-            heard_ms_ago=int((self._clock() - peer.channel.last_received_at) * 1000),
-        )
-        self._listener.entry_disconnected(peer)
+    def _close_channels(
+        self, reason: str, condition: Callable[[Channel], bool] = lambda _: True
+    ) -> None:
+        for channel in list(self._channels):
+            if condition(channel):
+                channel.close(reason)
--- a/tests/held/cluster.py
+++ b/tests/held/cluster.py
@@ -23,7 +23,6 @@
 from endivetally_standins.held_target import HeldTargetStandIn
 from endivetally_standins.held_target import RunHistory
 from endivetally_standins.held_target import StandInClientFactory
-from tornado.iostream import StreamClosedError
 
 LATENCY_S = 0.0015
 CAPACITY = Resources(16_000, 32_768)
@@ -65,58 +64,54 @@
             self.send(delayed_source, delayed_target, deliver)
 
 
-class MemoryStream:
-    """One end of a connection, with the part of the `IOStream` interface in use."""
+class MemoryTransport(asyncio.Transport):
+    """One end of a connection, with the part of the transport interface in use.
 
-    def __init__(self, network, local_node, remote_node):
+    :param node: the node at this end, whose callbacks receive the data.
+    """
+
+    def __init__(self, network, node, protocol):
+        super().__init__()
         self.network = network
-        self.local_node = local_node
-        self.remote_node = remote_node
+        self.node = node
+        self.protocol = protocol
+        self.context = node_context(node.suspension)
         self.peer = None
-        self.buffer = bytearray()
-        self.arrived = asyncio.Event()
         self.is_closed = False
 
-    def set_nodelay(self, value):
-        """Do nothing; there is no Nagle algorithm to disable."""
+    def write(self, data):
+        if not self.is_closed:
+            peer = self.peer
+            self.send(lambda: peer.deliver(data))
 
-    def closed(self):
-        return self.is_closed
+    def get_write_buffer_size(self):
+        return 0
 
-    async def read_bytes(self, count):
-        while len(self.buffer) < count:
-            if self.is_closed:
-                raise StreamClosedError
-            self.arrived.clear()
-            await self.arrived.wait()
-        taken = bytes(self.buffer[:count])
-        del self.buffer[:count]
-        return taken
+    def abort(self):
+        if not self.is_closed:
+            self.is_closed = True
+            self.send(self.peer.remote_closed)
 
-    def write(self, data):
-        if self.is_closed:
-            raise StreamClosedError
-        peer = self.peer
-        self.network.send(self.local_node, self.remote_node, lambda: peer.deliver(data))
-        done = self.network.loop.create_future()
-        done.set_result(None)
-        return done
+    def send(self, deliver):
+        self.network.send(self.node.name, self.peer.node.name, deliver)
 
     def deliver(self, data):
-        if not self.is_closed:
-            self.buffer.extend(data)
-            self.arrived.set()
+        self.call(self.receive, data)
 
-    def close(self):
-        if self.is_closed:
-            return
-        self.is_closed = True
-        self.arrived.set()
-        self.network.send(self.local_node, self.remote_node, self.peer.remote_closed)
+    def receive(self, data):
+        if not self.is_closed:
+            self.protocol.data_received(data)
 
     def remote_closed(self):
-        self.is_closed = True
-        self.arrived.set()
+        self.call(self.end)
+
+    def end(self):
+        if not self.is_closed:
+            self.is_closed = True
+            self.protocol.connection_lost(None)
+
+    def call(self, callback, *args):
+        self.network.loop.call_soon(callback, *args, context=self.context)
 
 
 class Node:
@@ -126,7 +121,7 @@
         self.cluster = cluster
         self.name = name
         self.suspension = Suspension()
-        self.streams = []
+        self.transports = []
         self.tasks = []
         self.alive = False
 
@@ -149,9 +144,9 @@
         # A killed process runs no cleanup: its tasks stay suspended until the checks
         # are done.
         self.cluster.loop.stop_node(self.suspension)
-        for stream in self.streams:
-            stream.close()
-        self.streams.clear()
+        for transport in self.transports:
+            transport.abort()
+        self.transports.clear()
         self.cluster.killed.append(self.suspension)
         self.suspension = Suspension()
 
@@ -247,7 +242,9 @@
             metrics,
             self.loop.time,
             seed=self.instance_count,
-            connect=lambda address: self._connect(name, address.host),
+            connect=lambda address, create_channel: self._connect(
+                name, address.host, create_channel
+            ),
         )
         self.entries[name] = entry
         node.alive = True
@@ -292,22 +289,23 @@
             self.nodes[name] = Node(self, name)
         return self.nodes[name]
 
-    async def _connect(self, local, remote):
+    async def _connect(self, local, remote, create_channel):
         local_node, remote_node = self.nodes[local], self.nodes[remote]
         if (local, remote) in self.network.partitions:
             await asyncio.sleep(0.5)
             raise TimeoutError
         if not remote_node.alive:
             raise ConnectionRefusedError
-        local_end = MemoryStream(self.network, local, remote)
-        remote_end = MemoryStream(self.network, remote, local)
+        channel = create_channel()
+        remote_channel = self.agents[remote].entry_server.create_channel()
+        local_end = MemoryTransport(self.network, local_node, channel)
+        remote_end = MemoryTransport(self.network, remote_node, remote_channel)
         local_end.peer, remote_end.peer = remote_end, local_end
-        local_node.streams.append(local_end)
-        remote_node.streams.append(remote_end)
-        remote_node.run(
-            self.agents[remote].entry_server.handle_stream(remote_end, None)
-        )
-        return local_end
+        local_node.transports.append(local_end)
+        remote_node.transports.append(remote_end)
+        remote_end.call(remote_channel.connection_made, remote_end)
+        channel.connection_made(local_end)
+        return channel
 
 
 async def _cancel(task):
