--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -31,6 +31,7 @@
 from endivetally_held.runs import RunState
 from endivetally_held.session import SessionListener
 from endivetally_held.session import TargetSession
+from endivetally_held.state_reporter import StateReporter
 from endivetally_held.target_client import TargetClientFactory
 from endivetally_held.target_client import TargetReport
 
@@ -71,9 +72,9 @@
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._backlog = Backlog()
         self._draining = False
-        # Entries that get the state in the next event loop iteration.
-        self._state_receivers: set[EntryPeer] = set()
-        self._announced_availability = ('', False)
+        self._state_reporter = StateReporter(
+            self.entry_server, self._build_state, self._find_availability
+        )
         self._stack = AsyncExitStack()
 
     @property
@@ -134,14 +135,16 @@
             end=end.value,
             run_ms=run_ms,
         )
-        self._report_end(run.entry, RunEnded(run.task, run.run_number, end, run_ms))
+        self._state_reporter.report_end(
+            run.entry, RunEnded(run.task, run.run_number, end, run_ms)
+        )
         self.capacity_changed()
 
     def capacity_changed(self) -> None:
         """Start or refuse waiting runs, and send the new state to the entries."""
         self._start_waiting_runs()
         self._refuse_excess_runs()
-        self._mark_state_changed()
+        self._state_reporter.mark_changed()
 
     def session_lost(self, *, target_ended: bool) -> None:
         """Drop the session with a target instance that rejects its commands.
@@ -153,8 +156,8 @@
 
     def entry_connected(self, peer: EntryPeer) -> None:
         """Send the state of the target to a new entry."""
-        self._send_state(peer)
-        self._mark_state_changed()
+        self._state_reporter.send_state(peer)
+        self._state_reporter.mark_changed()
 
     def message_received(self, peer: EntryPeer, message: AnyHeldMessage) -> None:
         """Handle requests to start or stop runs."""
@@ -169,7 +172,7 @@
         self._backlog.remove_matching(lambda run: run.entry == peer.incarnation)
         if self._session is not None:
             self._session.stop_runs_of(peer.incarnation)
-        self._mark_state_changed()
+        self._state_reporter.mark_changed()
 
     async def drain(self, timeout_s: float) -> None:
         """Refuse new runs and wait until the started ones have ended.
@@ -216,7 +219,7 @@
         closing.add_done_callback(self._closing_tasks.discard)
         self._refuse_backlog()
         session.end_all_runs(RunEnd.LOST)
-        self._mark_state_changed()
+        self._state_reporter.mark_changed()
 
     async def _close_session(self) -> None:
         if self._session is not None:
@@ -242,7 +245,7 @@
                 self._refuse_run(run, refusal)
         self._start_waiting_runs()
         self._refuse_excess_runs()
-        self._mark_state_changed()
+        self._state_reporter.mark_changed()
 
     def _find_refusal(self, request: RunRequest, need: Resources) -> RunEnd | None:
         session = self._session
@@ -272,7 +275,9 @@
         self._events.emit(
             Event.RUN_REFUSED, task=str(run.task), run=run.run_number, reason=end.value
         )
-        self._report_end(run.entry, RunEnded(run.task, run.run_number, end))
+        self._state_reporter.report_end(
+            run.entry, RunEnded(run.task, run.run_number, end)
+        )
 
     def _start_waiting_runs(self) -> None:
         session = self._session
@@ -294,7 +299,7 @@
             self._refuse_run(run, RunEnd.REFUSED_COMMAND)
         if self._session is not None:
             self._session.stop_runs_of(peer.incarnation, tasks)
-        self._mark_state_changed()
+        self._state_reporter.mark_changed()
 
     def _build_state(self, peer: EntryPeer) -> TargetState:
         entry_count = len(self.entry_server)
@@ -310,7 +315,7 @@
                 peer.handled_sequence,
                 entry_count,
             )
-        pool, accepting = self._availability
+        pool, accepting = self._find_availability()
         return TargetState(
             pool,
             accepting,
@@ -322,45 +327,12 @@
             entry_count,
         )
 
-    @property
-    def _availability(self) -> tuple[str, bool]:
-        """Pool of the target, and whether it accepts runs."""
+    def _find_availability(self) -> tuple[str, bool]:
         session = self._session
         if session is None:
             return ('', False)
         return (session.report.pool, session.may_start() and not self._draining)
 
-    def _mark_state_changed(self) -> None:
-        """Send the state with the next tick, or at once if the availability changed."""
-        for peer in self.entry_server:
-            peer.state_outdated = True
-        availability = self._availability
-        if availability != self._announced_availability:
-            self._announced_availability = availability
-            for peer in self.entry_server:
-                self._send_state_soon(peer)
-
-    def _report_end(self, entry: str, ended: RunEnded) -> None:
-        """Send the end of a run and the state after it in one batch."""
-        peer = self.entry_server.find_entry(entry)
-        if peer is not None:
-            self._send_state_soon(peer)
-            peer.channel.post(ended)
-
-    def _send_state_soon(self, peer: EntryPeer) -> None:
-        if not self._state_receivers:
-            asyncio.get_running_loop().call_soon(self._send_to_receivers)
-        self._state_receivers.add(peer)
-
-    def _send_to_receivers(self) -> None:
-        receivers, self._state_receivers = self._state_receivers, set()
-        for peer in receivers:
-            self._send_state(peer)
-
-    def _send_state(self, peer: EntryPeer) -> None:
-        peer.state_outdated = False
-        peer.channel.post(self._build_state(peer))
-
     async def _run_periodic_work(self) -> None:
         last_heartbeat_at = self._clock()
         while True:
@@ -368,11 +340,7 @@
             self.entry_server.disconnect_silent()
             self._start_waiting_runs()
             self._refuse_excess_runs()
-            if self._availability != self._announced_availability:
-                self._mark_state_changed()
-            for peer in self.entry_server:
-                if peer.state_outdated:
-                    self._send_state(peer)
+            self._state_reporter.send_outdated_states()
             if self._clock() - last_heartbeat_at >= HEARTBEAT_CHECK_S:
                 last_heartbeat_at = self._clock()
                 self.entry_server.send_heartbeats()
--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -11,6 +11,7 @@
 import itertools
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -100,9 +101,25 @@
         await asyncio.sleep(RENEW_INTERVAL_S)
 
 
+@dataclass(frozen=True, slots=True)
+class _RankedAgent:
+    """The row of an agent, and whether this entry is to connect to the agent.
+
+    :param version: version of the row.
+    :param address: ``None`` for a malformed row.
+    """
+
+    version: int
+    address: Address | None
+    selected: bool
+
+
 class AgentSelector:
     """Selects the agents that an entry connects to.
 
+    An agent is ranked again only when its row or the set of live entries has changed,
+    so that the renewals of rows cost little in a large fleet.
+
     :param name: configured name of the entry.
     :param clock: returns monotonic time in seconds.
     """
@@ -112,6 +129,8 @@
         self._events = events
         self._clock = clock
         self._row_changes: dict[str, tuple[int, float]] = {}
+        self._entries: frozenset[str] = frozenset()
+        self._agents: dict[str, _RankedAgent] = {}
 
     def select(self, rows: Mapping[str, Row]) -> set[Address]:
         """Return the addresses of the agents to connect to.
@@ -119,21 +138,32 @@
         :param rows: rows of all agents and entries by their keys.
         """
         entries = self._find_live_entries(rows)
-        selected = set()
-        for key, row in rows.items():
-            if not key.startswith(AGENT_PREFIX):
-                continue
-            try:
-                agent = msgspec.json.decode(row.content, type=AgentRow)
-            except (ValueError, RecursionError) as error:
-                self._events.emit(Event.ROW_IGNORED, key=key, reason=str(error))
-                continue
-            ranked = rank_by_rendezvous(str(agent.address), entries)
-            if self._name in ranked[:ENTRIES_PER_AGENT]:
-                selected.add(agent.address)
-        return selected
-
-    def _find_live_entries(self, rows: Mapping[str, Row]) -> set[str]:
+        former = self._agents if entries == self._entries else {}
+        self._entries = entries
+        self._agents = {
+            key: self._rank_agent(row, former.get(key))
+            for key, row in rows.items()
+            if key.startswith(AGENT_PREFIX)
+        }
+        return {
+            agent.address
+            for agent in self._agents.values()
+            if agent.selected and agent.address is not None
+        }
+
+    def _rank_agent(self, row: Row, former: _RankedAgent | None) -> _RankedAgent:
+        if former is not None and former.version == row.version:
+            return former
+        try:
+            address = msgspec.json.decode(row.content, type=AgentRow).address
+        except (ValueError, RecursionError) as error:
+            self._events.emit(Event.ROW_IGNORED, key=row.key, reason=str(error))
+            return _RankedAgent(row.version, None, selected=False)
+        ranked = rank_by_rendezvous(str(address), self._entries)
+        selected = self._name in ranked[:ENTRIES_PER_AGENT]
+        return _RankedAgent(row.version, address, selected)
+
+    def _find_live_entries(self, rows: Mapping[str, Row]) -> frozenset[str]:
         now = self._clock()
         names = {self._name}
         for key, row in rows.items():
@@ -145,7 +175,7 @@
                 changed_at = now
             if now - changed_at < STALE_AFTER_S:
                 names.add(key.removeprefix(ENTRY_PREFIX))
-        return names
+        return frozenset(names)
 
 
 class RowWatcher:
@@ -162,6 +192,7 @@
         events: EventLog,
     ) -> None:
         self.available = False
+        self._reported_available: bool | None = None
         self._table = table
         self._prefix = prefix
         self._on_rows = on_rows
@@ -203,8 +234,9 @@
             self._on_rows(self._rows)
 
     def _set_available(self, *, available: bool, reason: str = '') -> None:
-        if available == self.available:
-            return
         self.available = available
+        if available == self._reported_available:
+            return
+        self._reported_available = available
         event = Event.TABLE_AVAILABLE if available else Event.TABLE_UNAVAILABLE
         self._events.emit(event, prefix=self._prefix, reason=reason)
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -10,6 +10,7 @@
 from typing import Self
 
 from endivetally_config.operator_config import OperatorConfig
+from endivetally_config.operator_config import Service
 from endivetally_config.operator_config import VersionedConfig
 from endivetally_core.clock import PauseDetector
 from endivetally_core.clock import monotonic_now
@@ -81,6 +82,7 @@
         self.connections = AgentConnections(
             incarnation, data_centre, self, events, clock, connect
         )
+        self._services: dict[str, Service] = {}
         self._events = events
         self._metrics = metrics
         self._clock = clock
@@ -123,6 +125,7 @@
         if config.version <= self.config.version:
             return False
         self.config = config
+        self._services = {service.name: service for service in config.config.services}
         self._events.emit(
             Event.CONFIG_APPLIED,
             version=config.version,
@@ -154,7 +157,7 @@
         self._last_activity_at = self._clock()
         open_job = self._open_jobs.get(job.identifier)
         if open_job is None:
-            service = self.config.config.find_service(job.service)
+            service = self._services.get(job.service)
             if service is None:
                 return JobResponse(JobResult.REFUSED, 'no_service', NO_SERVICE_RETRY_S)
             open_job = OpenJob(job, service, self._run_time_predictor, self._clock())
--- a/libs/endivetally-held/src/endivetally_held/entry_server.py
+++ b/libs/endivetally-held/src/endivetally_held/entry_server.py
@@ -98,7 +98,9 @@
     def disconnect_silent(self) -> None:
         """Close the connections on which nothing was received for too long."""
         self._check_pause()
-        self._close_channels('silent', lambda channel: channel.timed_out)
+        for channel in list(self._channels):
+            if channel.timed_out:
+                channel.close('silent')
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to the entries that were sent nothing recently."""
@@ -167,9 +169,6 @@
         # Entries may have given up the requests that arrived during the pause.
         self._close_channels('paused')
 
-    def _close_channels(
-        self, reason: str, condition: Callable[[Channel], bool] = lambda _: True
-    ) -> None:
+    def _close_channels(self, reason: str) -> None:
         for channel in list(self._channels):
-            if condition(channel):
-                channel.close(reason)
+            channel.close(reason)
--- a/tests/adapter/test_http_client.py
+++ b/tests/adapter/test_http_client.py
@@ -136,3 +136,49 @@
         responses = await asyncio.gather(*requests)
         assert {response.body for response in responses} == {b'ok'}
         assert server.connections <= MAX_CONNECTIONS
+
+
+class SlowBody:
+    """Sends the body of a response in parts, with a delay before each.
+
+    :param size: size of the body that the header announces.
+    """
+
+    def __init__(self, parts, delay_s, size):
+        self.parts = parts
+        self.delay_s = delay_s
+        self.size = size
+
+    async def handle_connection(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % self.size)
+        for part in self.parts:
+            await asyncio.sleep(self.delay_s)
+            writer.write(part)
+        await reader.read()
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ('parts', 'size', 'complete'),
+    [
+        ([b'x' * 20_000] * 10, 200_000, True),
+        ([b'x' * 20_000] * 2, 200_000, False),
+        ([b'x'] * 40, 40, False),
+    ],
+    ids=['long transfer', 'falls silent', 'too slow'],
+)
+async def test_a_response_may_take_long_but_not_fall_silent(parts, size, complete):
+    body = SlowBody(parts, 0.25, size)
+    listener = await asyncio.start_server(body.handle_connection, '127.0.0.1', 0)
+    client = HttpClient(f'127.0.0.1:{listener.sockets[0].getsockname()[1]}')
+    try:
+        if complete:
+            response = await client.request('GET', '/', timeout_s=2)
+            assert len(response.body) == size
+        else:
+            with pytest.raises(NoResponse):
+                await client.request('GET', '/', timeout_s=2)
+    finally:
+        await client.close()
+        listener.close()
--- a/tests/held/test_discovery.py
+++ b/tests/held/test_discovery.py
@@ -5,8 +5,11 @@
 import msgspec
 import pytest
 from differential.clock import run_virtually
+from endivetally_core.events import Event
 from endivetally_core.events import EventLog
+from endivetally_core.identifiers import rank_by_rendezvous
 from endivetally_core.joining import Address
+from endivetally_held import discovery
 from endivetally_held.discovery import ENTRIES_PER_AGENT
 from endivetally_held.discovery import STALE_AFTER_S
 from endivetally_held.discovery import AgentRow
@@ -56,6 +59,27 @@
     assert max(map(len, selected)) <= 2 * agents * entries_per_agent / entries
 
 
+def test_renewed_rows_of_entries_rank_no_agent_again(monkeypatch):
+    ranked = []
+
+    def rank(subject, names):
+        ranked.append(subject)
+        return rank_by_rendezvous(subject, names)
+
+    monkeypatch.setattr(discovery, 'rank_by_rendezvous', rank)
+    selector = create_selector()
+    rows = create_rows(160, 35)
+    selected = selector.select(rows)
+    assert len(ranked) == 160
+    for row in (entry_row(3, version=2), agent_row(200)):
+        rows[row.key] = row
+        selector.select(rows)
+    assert ranked[160:] == ['10.0.0.200:7720']
+    del rows['entries/entry-3']
+    assert len(selector.select(rows)) >= len(selected)
+    assert len(ranked) == 161 + 161
+
+
 def test_entry_whose_row_is_not_renewed_is_ignored():
     now = [0.0]
     selector = create_selector(clock=lambda: now[0])
@@ -115,6 +139,23 @@
     run_with_watcher(scenario)
 
 
+def test_a_failed_first_read_is_logged_once():
+    async def run():
+        events = create_event_log()
+        table = MemoryFeedTable()
+        table.faults.down = True
+        watcher = RowWatcher(table, 'agents/', lambda rows: None, events)
+        watch_task = asyncio.ensure_future(watcher.run())
+        await asyncio.sleep(10)
+        assert events.event_counts[Event.TABLE_UNAVAILABLE] == 1
+        table.faults.down = False
+        await asyncio.sleep(2)
+        assert events.event_counts[Event.TABLE_AVAILABLE] == 1
+        watch_task.cancel()
+
+    run_virtually(run())
+
+
 def test_rows_are_up_to_date_two_seconds_after_an_outage():
     async def scenario(table, key_lists, watcher):
         await register_agent(table, 1)
