--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -99,6 +99,7 @@
         self._last_activity_at: float = 0
         self._closed = False
         self._reported_unready_reason = ''
+        self._readiness_changed_at = clock()
         self._stack = AsyncExitStack()
 
     @property
@@ -106,6 +107,11 @@
         """Number of jobs without a response."""
         return len(self._open_jobs)
 
+    @property
+    def readiness_age_s(self) -> float:
+        """Seconds since the entry became ready, or unready for the current reason."""
+        return self._clock() - self._readiness_changed_at
+
     async def __aenter__(self) -> Self:
         """Start the periodic work."""
         self._stack.callback(self.connections.close)
@@ -360,13 +366,16 @@
     def _report_readiness(self) -> None:
         reason = self.unready_reason()
         if reason != self._reported_unready_reason:
-            self._reported_unready_reason = reason
             self._events.emit(
                 Event.READINESS_CHANGED,
                 reason=reason,
+                former_reason=self._reported_unready_reason,
+                after_ms=int(self.readiness_age_s * 1000),
                 agents=len(self.connections.peers),
                 text=self.config.version,
             )
+            self._reported_unready_reason = reason
+            self._readiness_changed_at = self._clock()
 
     def _find_wait_reason(self, open_job: OpenJob) -> str:
         peers = self.connections.find_accepting_peers(open_job.service.target_pool)
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -33,8 +33,9 @@
 from endivetally_held.target_client import TargetSessionLost
 
 # Longest wait of a long poll. Three polls fit into one lease, which each of them
-# renews.
+# renews. Without runs there is no lease to renew; the start of the next run renews it.
 POLL_WAIT_S: Final = 0.2
+IDLE_POLL_WAIT_S: Final = 0.4
 # Time for the response beyond the wait; a response takes a few milliseconds.
 POLL_RESPONSE_S: Final = 0.25
 STOP_RETRY_S: Final = 0.1
@@ -272,7 +273,9 @@
         at_once = self._failed_polls or any(
             map(may_never_have_started, self._runs.values())
         )
-        wait_s = 0 if at_once else POLL_WAIT_S
+        wait_s = POLL_WAIT_S if self._runs else IDLE_POLL_WAIT_S
+        if at_once:
+            wait_s = 0
         return await self._target.poll(
             lease, self._last_end_sequence, wait_s, wait_s + POLL_RESPONSE_S
         )
