--- a/libs/endivetally-held/src/endivetally_held/open_job.py
+++ b/libs/endivetally-held/src/endivetally_held/open_job.py
@@ -52,6 +52,7 @@
     :param arrived_at: monotonic time of the arrival in seconds.
     :ivar objective_s: response time objective; grows with the critical path.
     :ivar slack_s: seconds that the job may be queued and still meet the objective.
+    :ivar waiting_count: number of tasks that are not sent to an agent.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
             for task in _create_tasks(job, number, step)
         }
         self._waiting_counts = [step.count for step in job.steps]
+        self.waiting_count = sum(self._waiting_counts)
         self._unfinished_counts = [step.count for step in job.steps]
         self._running_cpu = 0
 
@@ -103,11 +105,6 @@
         """Whether every task is done."""
         return not any(self._unfinished_counts)
 
-    @property
-    def waiting_count(self) -> int:
-        """Number of tasks that are not sent to an agent."""
-        return sum(self._waiting_counts)
-
     @property
     def waiting_work(self) -> Work:
         """Cores and core seconds that the waiting tasks need."""
@@ -146,12 +143,14 @@
         task.agent = agent
         self.possible_run_count += 1
         self._waiting_counts[task.key.step] -= 1
+        self.waiting_count -= 1
         self._running_cpu += task.step.need.cpu
 
     def record_requeued(self, task: HeldTask) -> None:
         """Record that a run has ended and the task has to run again."""
         task.state = TaskState.WAITING
         self._waiting_counts[task.key.step] += 1
+        self.waiting_count += 1
         self._running_cpu -= task.step.need.cpu
 
     def record_done(self, task: HeldTask) -> None:
--- a/libs/endivetally/src/endivetally/commands/soak.py
+++ b/libs/endivetally/src/endivetally/commands/soak.py
@@ -28,6 +28,10 @@
     entries: Annotated[int, typer.Option(min=1, help='Entry processes.')] = 3,
     agents: Annotated[int, typer.Option(min=1, help='Agent processes.')] = 5,
     rate: Annotated[float, typer.Option(help='Jobs per second.')] = 15,
+    large: Annotated[
+        bool,
+        typer.Option(help='Large configuration, slow links to the store.'),
+    ] = False,
     logs: Annotated[
         Path | None, typer.Option(help='Directory for settings and logs.')
     ] = None,
@@ -39,7 +43,7 @@
     """
     # The stand-ins refuse some requests on purpose; do not log each as a warning.
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
-    size = SoakSize(entries, agents, minutes * 60, rate)
+    size = SoakSize(entries, agents, minutes * 60, rate, large)
     report = asyncio.run(_run_seeds(range(seed, seed + runs), size, logs))
     if as_json:
         typer.echo(json.dumps(report.as_dict(), indent=2))
--- a/libs/endivetally/src/endivetally/soak/deployment.py
+++ b/libs/endivetally/src/endivetally/soak/deployment.py
@@ -11,6 +11,7 @@
 from typing import Final
 from typing import Self
 
+import msgspec
 from endivetally_config.operator_config import Objective
 from endivetally_config.operator_config import Service
 from endivetally_config.operator_config import ServiceKind
@@ -59,6 +60,10 @@
 # Interval at which the deployment checks for processes that need a restart.
 SUPERVISION_INTERVAL_S: Final = 0.1
 RESTART_DELAY_RANGE_S: Final = (0.2, 1.5)
+# Size of a large deployment's configuration, and the rate at which each of its
+# machines receives from the store, which is that of a link of 2 Mbit/s.
+LARGE_ROUTE_COUNT: Final = 1600
+LARGE_STORE_BYTES_PER_S: Final = 250_000
 # Time that data of a caller takes to reach the proxy on a busy machine.
 PROXY_TRANSIT_S: Final = 0.2
 # Longest time for which the store keeps a request open that waits for changes.
@@ -168,9 +173,13 @@
     processes that exited without a signal from the soak test.
 
     :param directory: directory that receives settings and logs.
+    :param large: whether the configuration is large and the links to the store are
+        slow.
     """
 
-    def __init__(self, rng: random.Random, directory: Path) -> None:
+    def __init__(
+        self, rng: random.Random, directory: Path, *, large: bool = False
+    ) -> None:
         self.rng = rng
         self.jobs: dict[str, JobSpec] = {}
         self.run_history = RunHistory(
@@ -184,6 +193,7 @@
         self._directory = directory
         self._machine_numbers = itertools.count(1)
         self._target_numbers = itertools.count(1)
+        self._large = large
         self._config_version = 0
         self._network = ''
         self._exit_stack = AsyncExitStack()
@@ -243,6 +253,8 @@
             f'{self._network}.{STORE_PROXY_OCTET}.{number}', STORE_PORT
         )
         store_proxy = Proxy(store_address, Address(store_host, STORE_PORT))
+        if self._large:
+            store_proxy.backward.bytes_per_s = LARGE_STORE_BYTES_PER_S
         for proxy in (inbound_proxy, store_proxy):
             await self._exit_stack.enter_async_context(proxy)
         settings_file = self._directory / f'{name}.toml'
@@ -288,7 +300,10 @@
     async def change_config(self) -> None:
         """Write the next version of the operators' configuration to the store."""
         self._config_version += self.rng.randint(1, 5)
-        content = encode_configuration(self._config_version, list(SERVICES))
+        services = list(SERVICES)
+        if self._large:
+            services += _create_unused_services(LARGE_ROUTE_COUNT)
+        content = encode_configuration(self._config_version, services)
         put = Put('config', content)
         await self.store.get_table('op').commit(Transaction((), (put,)))
 
@@ -379,3 +394,12 @@
         if not machine.removed:
             await machine.start()
         machine.restarting = False
+
+
+def _create_unused_services(count: int) -> list[Service]:
+    return [
+        msgspec.structs.replace(
+            SERVICES[number % len(SERVICES)], name=f'unused-{number}'
+        )
+        for number in range(count)
+    ]
--- a/libs/endivetally/src/endivetally/soak/faults.py
+++ b/libs/endivetally/src/endivetally/soak/faults.py
@@ -5,6 +5,7 @@
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Final
 
 from endivetally_platform.standins import WorkerStandIn
@@ -21,6 +22,9 @@
 # A terminated process that runs longer than this is killed: its grace period, and a
 # margin for a busy machine.
 EXIT_TIMEOUT_S: Final = SHUTDOWN_GRACE_S + 2
+# How often a settings file changes in a row, and how often the process is told.
+SETTINGS_CHANGES: Final = 5
+HANGUP_SHARE: Final = 0.7
 
 
 class Fault(ABC):
@@ -127,6 +131,24 @@
             machine.process.send_sighup()
 
 
+class SettingsChanges(MachineFault):
+    """The settings file is written again in quick succession."""
+
+    kind = 'settings'
+
+    async def inject_into(
+        self, machine: Machine, duration_s: float, rng: random.Random
+    ) -> None:
+        """Write the file several times, not always followed by SIGHUP."""
+        content = machine.settings_file.read_text()
+        for number in range(SETTINGS_CHANGES):
+            machine.settings_file.write_text(f'generation = {number}\n{content}')
+            if machine.process.alive and rng.random() < HANGUP_SHARE:
+                machine.process.send_sighup()
+            await asyncio.sleep(duration_s / SETTINGS_CHANGES)
+        machine.settings_file.write_text(content)
+
+
 class LinkPartition(MachineFault):
     """The link to a machine forwards nothing in one or both directions."""
 
@@ -293,10 +315,18 @@
 
     async def inject(self, deployment: SoakDeployment, rng: random.Random) -> None:
         """Kill all running processes."""
-        machines = [each for each in deployment.machines if each.process.alive]
-        for machine in machines:
-            machine.record_exit()
-        await asyncio.gather(*(each.process.kill() for each in machines))
+        await _kill_at_once(deployment.machines)
+
+
+class KillHalfOfAgents(Fault):
+    """Half of the agents are killed at once; their targets run on."""
+
+    name = 'kill_agents'
+
+    async def inject(self, deployment: SoakDeployment, rng: random.Random) -> None:
+        """Kill a random half of the agents."""
+        agents = deployment.agents
+        await _kill_at_once(rng.sample(agents, k=(len(agents) + 1) // 2))
 
 
 class MachineReplacement(Fault):
@@ -349,6 +379,23 @@
 )
 
 
+# Faults of a large deployment, beside those of any other.
+LARGE_FAULTS: Final[tuple[Fault, ...]] = (
+    *FAULTS,
+    SettingsChanges('entry'),
+    SettingsChanges('agent'),
+    KillHalfOfAgents(),
+    ConfigChange(),
+)
+
+
+async def _kill_at_once(machines: Iterable[Machine]) -> None:
+    running = [each for each in machines if each.process.alive]
+    for machine in running:
+        machine.record_exit()
+    await asyncio.gather(*(each.process.kill() for each in running))
+
+
 def _get_loop_time() -> float:
     return asyncio.get_running_loop().time()
 
--- a/libs/endivetally/src/endivetally/soak/proxy.py
+++ b/libs/endivetally/src/endivetally/soak/proxy.py
@@ -18,11 +18,13 @@
 class Direction:
     """Delays or blocks the data that a proxy forwards in one direction.
 
-    ``delay_s`` is the delay of each chunk, in seconds.
+    ``delay_s`` is the delay of each chunk, in seconds. ``bytes_per_s`` limits the rate
+    of each connection; 0 for no limit. It stays when the direction is restored.
     """
 
     def __init__(self) -> None:
         self.delay_s: float = 0
+        self.bytes_per_s: int = 0
         self._open = asyncio.Event()
         self._open.set()
 
@@ -35,11 +37,15 @@
         self.delay_s = 0
         self._open.set()
 
-    async def wait_to_forward(self) -> None:
-        """Wait until a chunk may be forwarded."""
+    async def wait_to_forward(self, size: int = 0) -> None:
+        """Wait until a chunk may be forwarded.
+
+        :param size: size of the chunk in bytes.
+        """
         await self._open.wait()
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
+        transfer_s = size / self.bytes_per_s if self.bytes_per_s else 0
+        if self.delay_s or transfer_s:
+            await asyncio.sleep(self.delay_s + transfer_s)
 
 
 @dataclass(slots=True, eq=False)
@@ -177,7 +183,7 @@
 ) -> None:
     while True:
         chunk = await reader.read(CHUNK_BYTES)
-        await direction.wait_to_forward()
+        await direction.wait_to_forward(len(chunk))
         if connection.blackholed:
             connection.discard_times.append(asyncio.get_running_loop().time())
             await connection.was_reset.wait()
--- a/libs/endivetally/src/endivetally/soak/run.py
+++ b/libs/endivetally/src/endivetally/soak/run.py
@@ -9,6 +9,7 @@
 
 from endivetally.soak.deployment import SoakDeployment
 from endivetally.soak.faults import FAULTS
+from endivetally.soak.faults import LARGE_FAULTS
 from endivetally.soak.faults import Fault
 from endivetally.soak.guarantees import GuaranteeChecker
 from endivetally.soak.guarantees import get_loop_time
@@ -36,12 +37,20 @@
     :param agents: number of agent processes.
     :param fault_time_s: seconds during which faults are injected.
     :param jobs_per_s: mean rate at which callers send jobs.
+    :param large: whether the configuration is large and the links to the store are
+        slow, with the faults that come with size.
     """
 
     entries: int = 3
     agents: int = 5
     fault_time_s: float = 30
     jobs_per_s: float = 15
+    large: bool = False
+
+    @property
+    def faults(self) -> tuple[Fault, ...]:
+        """Faults from which one is drawn at a time."""
+        return LARGE_FAULTS if self.large else FAULTS
 
 
 async def run_soak(seed: int, size: SoakSize, directory: Path) -> SoakReport:
@@ -50,14 +59,14 @@
     :param directory: directory that receives settings and logs.
     """
     rng = random.Random(seed)
-    async with SoakDeployment(rng, directory) as deployment:
+    async with SoakDeployment(rng, directory, large=size.large) as deployment:
         await _add_machines(deployment, size)
         checker = GuaranteeChecker(deployment)
         traffic = JobTraffic(
             deployment, checker, random.Random(seed + 1), size.jobs_per_s
         )
         async with traffic:
-            fault_counts = await _inject_faults(deployment, rng, size.fault_time_s)
+            fault_counts = await _inject_faults(deployment, rng, size)
             await asyncio.sleep(RECOVERY_S)
             recovered_at = get_loop_time()
             await asyncio.sleep(FAULT_FREE_S)
@@ -80,14 +89,14 @@
 
 
 async def _inject_faults(
-    deployment: SoakDeployment, rng: random.Random, fault_time_s: float
+    deployment: SoakDeployment, rng: random.Random, size: SoakSize
 ) -> Counter[str]:
     """Start random faults for some time, wait until all are over and count them."""
     fault_counts: Counter[str] = Counter()
-    ends_at = get_loop_time() + fault_time_s
+    ends_at = get_loop_time() + size.fault_time_s
     injections: list[asyncio.Task[None]] = []
     while get_loop_time() < ends_at:
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(size.faults)
         repetitions = SERIES_LENGTH if rng.random() < REPEATED_SHARE else 1
         fault_counts[fault.name] += repetitions
         injections.append(
