--- a/tests/adapter/test_target_client.py
+++ b/tests/adapter/test_target_client.py
@@ -162,9 +162,17 @@
         json.dumps({**REPORT, 'service': ''}).encode(),
         json.dumps({**REPORT, 'sequence': 'four'}).encode(),
         json.dumps({**REPORT, 'capacity': None}).encode(),
+        json.dumps({**REPORT, 'address': 'nowhere'}).encode(),
+        json.dumps({**REPORT, 'address': '10.0.0.1:99999'}).encode(),
         b'[' * 200_000,
     ],
 )
 def test_unusable_report_is_rejected(body):
     with pytest.raises((ValueError, RecursionError)):
         decode_report('i-1', body)
+
+
+@pytest.mark.parametrize('target_id', ['', 'i-1\r\nHost: x', 'i-1\n', 'i-\u00e9'])
+def test_report_of_an_unusable_identifier_is_rejected(target_id):
+    with pytest.raises(ValueError, match='unusable report'):
+        decode_report(target_id, json.dumps(REPORT).encode())
