--- a/libs/endivetally-agent/src/endivetally_agent/peers.py
+++ b/libs/endivetally-agent/src/endivetally_agent/peers.py
@@ -12,6 +12,7 @@
 import msgspec
 from endivetally_config.settings import AgentSettings
 from endivetally_core.backoff import Backoff
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import Address
@@ -42,7 +43,8 @@
 JOIN_JITTER_S: Final = 10
 JOIN_TIMEOUT_S: Final = 3
 MAX_CONCURRENT_JOINS: Final = 16
-JOIN_ERRORS: Final = (HTTPClientError, OSError, ValueError, msgspec.DecodeError)
+SCAN_ERRORS: Final = (TableUnavailable, *DECODE_ERRORS)
+JOIN_ERRORS: Final = (HTTPClientError, OSError, ValueError, *DECODE_ERRORS)
 
 
 class EntryConnector(ABC):
@@ -150,7 +152,7 @@
     async def _scan_table(self, table: Table) -> None:
         try:
             rows = await scan_entries(table)
-        except (TableUnavailable, msgspec.DecodeError):
+        except SCAN_ERRORS:
             self._counters.table_failures.increment()
             return
         for row in rows:
--- a/libs/endivetally-agent/src/endivetally_agent/server.py
+++ b/libs/endivetally-agent/src/endivetally_agent/server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.joining import Announcement
 from endivetally_core.metrics import Exposition
 from endivetally_core.shaping import RuleShaper
@@ -49,7 +50,7 @@
         """Apply the announcement in the body; 400 if it is malformed."""
         try:
             announcement = msgspec.json.decode(self.request.body, type=Announcement)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.respond_malformed(str(error))
             return
         self.agent.apply_announcement(announcement)
@@ -94,7 +95,7 @@
         """Replace the shaping rules by those in the body; 400 if malformed."""
         try:
             rules = msgspec.json.decode(self.request.body, type=tuple[ShapingRule, ...])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.set_status(HTTPStatus.BAD_REQUEST)
             self.finish(str(error))
             return
--- a/libs/endivetally-config/src/endivetally_config/manager.py
+++ b/libs/endivetally-config/src/endivetally_config/manager.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import MalformedMessage
 from endivetally_table.table import Table
 
@@ -68,7 +68,7 @@
             return False
         try:
             config = decode_config(encoded)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise MalformedMessage(f'configuration {version}: {error}') from error
         self._current = VersionedConfig(version, config)
         self._encoded = bytes(encoded)
--- a/libs/endivetally-config/src/endivetally_config/store.py
+++ b/libs/endivetally-config/src/endivetally_config/store.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import ExecutionState
 from endivetally_core.errors import MalformedMessage
@@ -196,7 +197,7 @@
 def _decode_row(row: Row, structure: type[RowContent]) -> RowContent:
     try:
         return msgspec.json.decode(row.content, type=structure)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise MalformedMessage(f'row {row.key}: {error}') from error
 
 
--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import MalformedMessage
 from endivetally_core.wire import Message
 from endivetally_core.wire import WatchRequest
@@ -316,5 +317,5 @@
         raise MalformedMessage(f'frame of {len(encoded)} bytes is too large')
     try:
         return _decoder.decode(encoded)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedMessage(str(error)) from error
--- a/libs/endivetally-entry/src/endivetally_entry/caller_handlers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/caller_handlers.py
@@ -10,6 +10,7 @@
 from endivetally_config.operator_config import Service
 from endivetally_config.operator_config import ServiceKind
 from endivetally_config.operator_config import Team
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import ExecutionState
 from endivetally_core.errors import RequestError
@@ -250,7 +251,7 @@
             )
         try:
             body = msgspec.json.decode(self.request.body, type=JobBody)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise RequestError(ErrorKind.MALFORMED_REQUEST, str(error)) from error
         if not 0 < len(body.tasks) <= MAX_TASKS_PER_JOB:
             raise RequestError(
--- a/libs/endivetally-entry/src/endivetally_entry/operator_handlers.py
+++ b/libs/endivetally-entry/src/endivetally_entry/operator_handlers.py
@@ -6,6 +6,7 @@
 import msgspec
 from endivetally_config.api import SUBMITTER_HEADER
 from endivetally_config.api import SubmitResponse
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import ErrorKind
 from endivetally_core.errors import RequestError
 from endivetally_core.joining import JoinRequest
@@ -137,7 +138,7 @@
         """Open a listener for the link and return its address."""
         try:
             joining = msgspec.json.decode(self.request.body, type=JoinRequest)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             malformed = RequestError(ErrorKind.MALFORMED_REQUEST, str(error))
             await self.send_response(error_response(malformed))
             return
@@ -170,6 +171,11 @@
             refused = RequestError(ErrorKind.UNAUTHORISED, 'shaping is off')
             await self.send_response(error_response(refused))
             return
-        rules = msgspec.json.decode(self.request.body, type=tuple[ShapingRule, ...])
+        try:
+            rules = msgspec.json.decode(self.request.body, type=tuple[ShapingRule, ...])
+        except DECODE_ERRORS as error:
+            malformed = RequestError(ErrorKind.MALFORMED_REQUEST, str(error))
+            await self.send_response(error_response(malformed))
+            return
         self._entry.shaper.replace_rules(rules)
         await self.send_response(Response(200, b'{}'))
--- a/libs/endivetally-held/src/endivetally_held/messages.py
+++ b/libs/endivetally-held/src/endivetally_held/messages.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import MalformedMessage
 from endivetally_core.messages import Identifier
 from endivetally_core.wire import Message
@@ -128,5 +129,5 @@
     """
     try:
         return _decoder.decode(encoded)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedMessage(str(error)) from error
--- a/libs/endivetally-standins/src/endivetally_standins/table_service.py
+++ b/libs/endivetally-standins/src/endivetally_standins/table_service.py
@@ -15,6 +15,7 @@
 
 import msgspec
 import typer
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_table.http import MSGPACK_TYPE
@@ -74,7 +75,7 @@
         codec = msgspec.json if self.is_json('Content-Type') else msgspec.msgpack
         try:
             transaction = codec.decode(self.request.body, type=Transaction)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.finish_with_error(_BAD_REQUEST, str(error))
             return
         await self._commit(transaction)
@@ -145,7 +146,7 @@
         """Replace the faults; those that the body does not name are disabled."""
         try:
             self.table.faults = msgspec.json.decode(self.request.body, type=TableFaults)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.finish_with_error(_BAD_REQUEST, str(error))
 
 
--- a/libs/endivetally-standins/src/endivetally_standins/target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/target.py
@@ -19,6 +19,7 @@
 from typing import TextIO
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.joining import Announcement
 from tornado.httpclient import HTTPClientError
 from tornado.httpserver import HTTPServer
@@ -314,7 +315,7 @@
     """
     try:
         return msgspec.json.decode(body, type=TaskPayload)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return TaskPayload()
 
 
--- a/libs/endivetally-table/src/endivetally_table/http.py
+++ b/libs/endivetally-table/src/endivetally_table/http.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import Address
@@ -112,5 +113,5 @@
 def _decode(decoder: 'msgspec.msgpack.Decoder[Content]', body: bytes) -> Content:
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise TableUnavailable(str(error)) from error
--- a/tests/config/test_manager.py
+++ b/tests/config/test_manager.py
@@ -121,10 +121,11 @@
         assert not manager.apply_if_newer(1, _encode_config('old'))
         assert manager.config.find_service('new')
 
-    def test_malformed_configuration_keeps_the_current_version(self, manager):
+    @pytest.mark.parametrize('content', [b'{}', b'\xff', b'[' * 200_000])
+    def test_malformed_configuration_keeps_the_current_version(self, manager, content):
         manager.apply_if_newer(1, _encode_config())
         with pytest.raises(MalformedMessage):
-            manager.apply_if_newer(2, b'{}')
+            manager.apply_if_newer(2, content)
         assert manager.version == 1
 
 
--- a/tests/core/test_bounds.py
+++ b/tests/core/test_bounds.py
@@ -52,3 +52,13 @@
     def test_rejects_values_out_of_bounds(self, message):
         with pytest.raises(MalformedMessage):
             decode_frame(encode_frame(Frame(0, [message])))
+
+
+@pytest.mark.parametrize(
+    'encoded',
+    [b'', b'\xc1', b'\x91' * 200_000, b'\x92\x03' + b'\x91' * 200_000],
+    ids=['empty', 'no msgpack', 'nested', 'nested messages'],
+)
+def test_a_malformed_frame_is_reported_as_such(encoded):
+    with pytest.raises(MalformedMessage):
+        decode_frame(encoded)
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -124,6 +124,7 @@
 KEY = {'Idempotency_Key': 'k'}
 INVALID_CALLS = {
     'not JSON': (SWEEPS, b'tasks?', KEY, 400, 'malformed_request'),
+    'nested': (SWEEPS, b'{"tasks":' + b'[' * 2000, KEY, 400, 'malformed_request'),
     'unknown field': (SWEEPS, b'{"tasks":[1],"x":1}', KEY, 400, 'malformed_request'),
     'no task': (SWEEPS, _job_body(0), KEY, 422, 'job_size'),
     '1,801 tasks': (SWEEPS, _job_body(1801), KEY, 422, 'job_size'),
@@ -208,7 +209,15 @@
 
 class TestJoin:
     @pytest.mark.parametrize(
-        'body', [b'', b'{}', b'[]', b'{"agent": {"name": "a"}}', b'{"entry": 1}']
+        'body',
+        [
+            b'',
+            b'{}',
+            b'[]',
+            b'{"agent": {"name": "a"}}',
+            b'{"entry": 1}',
+            b'[' * 200_000,
+        ],
     )
     async def test_a_join_request_without_an_identity_is_rejected(
         self, running_entry, body
