--- a/libs/endivetally-core/src/endivetally_core/messages.py
+++ b/libs/endivetally-core/src/endivetally_core/messages.py
@@ -196,12 +196,14 @@
     :param usage: task starts per second that callers requested, by team.
     :param map_version: version of the shard map known to the sender.
     :param probe: whether an agent must respond with its `AgentState`.
+    :param pools: pools in which the sender has an open target.
     """
 
     state: Identifier
     usage: dict[Identifier, float] = {}
     map_version: SequenceNumber = 0
     probe: bool = False
+    pools: list[Identifier] = []
 
 
 class AgentNews(Message, frozen=True, tag='agent_news'):
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -150,10 +150,10 @@
         ]
         return [row.identity for row in rows if row.state == 'live']
 
-    def has_capacity_in_every_pool(self) -> bool:
-        """Return whether each pool has an open target that this entry can use."""
+    def find_served_pools(self) -> frozenset[str]:
+        """Return the pools in which this entry can use an open target."""
         pools = self.active_config.config.pools
-        return bool(pools) and all(map(self.scheduler.capacity, pools))
+        return frozenset(filter(self.scheduler.capacity, pools))
 
     async def wait_until_open(self, timeout_s: float) -> None:
         """Wait until the entry is open, at most for the timeout."""
--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -58,6 +58,7 @@
     :param state: last reported state.
     :param last_received_at: time of its last frame, on the event loop's clock.
     :param dialling: whether a task of this process keeps a link to it open.
+    :param pools: pools in which it has an open target, as last reported.
     """
 
     identity: EntryIdentity
@@ -65,6 +66,7 @@
     state: str = 'open'
     last_received_at: float = 0
     dialling: bool = False
+    pools: frozenset[str] = frozenset()
 
     @property
     def link(self) -> 'Link | None':
@@ -107,6 +109,11 @@
         linked = [peer.identity for peer in self.peers if peer.link]
         return [self._identity, *linked]
 
+    @property
+    def reported_pools(self) -> frozenset[str]:
+        """Pools in which a connected entry has an open target."""
+        return frozenset().union(*(peer.pools for peer in self.peers if peer.link))
+
     def set_forwarder(self, forwarder: 'RequestForwarder') -> None:
         """Set the forwarder whose requests fail when a peer's last link closes."""
         self._forwarder = forwarder
@@ -271,6 +278,7 @@
         """Store a reported state and pass the message on."""
         if isinstance(message, EntryState):
             self._peer.state = message.state
+            self._peer.pools = frozenset(message.pools)
         self._on_message(self._peer, message)
 
 
--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -38,7 +38,11 @@
 SILENCE_RESET_GAP_S: Final = 2
 REFRESH_INTERVAL_S: Final = 5
 START_RETRY_S: Final = 0.5
+# How long an entry that starts waits for agents of a pool: the first time in any case,
+# the second while another entry has an open target of the pool. Agents try an entry
+# again within 10 s.
 TARGETS_WAIT_S: Final = 3
+SERVED_TARGETS_WAIT_S: Final = 12
 TARGETS_POLL_INTERVAL_S: Final = 0.05
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # Time for load balancers to notice the failing health check before the port closes.
@@ -144,8 +148,13 @@
     async def _wait_for_targets(self) -> None:
         """Wait for agents to join before callers are served, for a limited time."""
         loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + TARGETS_WAIT_S
-        while loop.time() < give_up_at and not self._entry.has_capacity_in_every_pool():
+        started_at = loop.time()
+        while must_wait_for_targets(
+            frozenset(self._entry.active_config.config.pools),
+            self._entry.find_served_pools(),
+            self._entry.entry_links.reported_pools,
+            loop.time() - started_at,
+        ):
             await asyncio.sleep(TARGETS_POLL_INTERVAL_S)
 
     def _open(self) -> None:
@@ -306,6 +315,34 @@
             )
 
 
+def must_wait_for_targets(
+    pools: frozenset[str],
+    served: frozenset[str],
+    served_elsewhere: frozenset[str],
+    waited_s: float,
+) -> bool:
+    """Return whether an entry that starts has to wait for more agents to join.
+
+    An entry that opened sooner would refuse requests with ``no_target`` although the
+    pool is served.
+
+    :param pools: all pools of the configuration.
+    :param served: pools in which this entry has an open target.
+    :param served_elsewhere: pools in which another entry has one.
+    :param waited_s: seconds since the entry began to wait.
+
+    >>> must_wait_for_targets(frozenset('ab'), frozenset('a'), frozenset('b'), 5)
+    True
+    >>> must_wait_for_targets(frozenset('ab'), frozenset('a'), frozenset('a'), 5)
+    False
+    """
+    if pools and pools <= served:
+        return False
+    if (pools - served) & served_elsewhere:
+        return waited_s < SERVED_TARGETS_WAIT_S
+    return waited_s < TARGETS_WAIT_S
+
+
 async def run_lifecycle(settings: 'EntrySettings') -> int:
     """Run an entry in the current event loop.
 
--- a/libs/endivetally-entry/src/endivetally_entry/peering.py
+++ b/libs/endivetally-entry/src/endivetally_entry/peering.py
@@ -44,7 +44,12 @@
         """Send state, quota demand and shard map version to all connected entries."""
         entry = self._entry
         version = entry.shard_directory.shard_map.version
-        state = EntryState(entry.state, entry.quotas.demand, version)
+        state = EntryState(
+            entry.state,
+            entry.quotas.demand,
+            version,
+            pools=sorted(entry.find_served_pools()),
+        )
         entry.entry_links.broadcast(state)
 
     def handle_message(self, peer: 'PeerEntry', message: AnyMessage) -> None:
