--- a/libs/endivetally/src/endivetally/capacity/page.py
+++ b/libs/endivetally/src/endivetally/capacity/page.py
@@ -1,4 +1,4 @@
-"""Renders docs/CAPACITY.md from a recording."""
+"""Renders docs/capacity/keyed.md from a recording."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -16,10 +16,11 @@
 from endivetally.capacity.recording import Slope
 from endivetally.capacity.remedies import find_remedy
 
-TITLE: Final = '# Capacity'
+TITLE: Final = '# Capacity of keyed requests'
 INTRODUCTION: Final = """\
-This page is computed by `endivetally capacity page` from
-[capacity/slopes.json](capacity/slopes.json), which `endivetally bench control
+Measured with stand-ins of targets and of the table service, not on the users'
+platform; [../CAPACITY.md](../CAPACITY.md) is about held jobs there. This page is
+computed by `endivetally capacity page` from [slopes.json](slopes.json), which `endivetally bench control
 --json` writes; a test compares the two. It extrapolates: nothing here ran at the
 size of the design. Sizes that were measured stand beside each slope. Processes
 shared one machine with other work; the standard error shows the scatter. Parts of
@@ -33,13 +34,13 @@
 entry watches (two entries for each agent, by rendezvous), an answer to every
 third; news between entries about silent agents; probes of agents that have work
 and are not heard; load on replies; group commit in the journal. See
-[design/membership.md](design/membership.md) and
-[design/journal.md](design/journal.md). A frame counts 60 bytes of headers and an
+[design/membership.md](../design/membership.md) and
+[design/journal.md](../design/journal.md). A frame counts 60 bytes of headers and an
 acknowledgement of 52 bytes of its own, which is the most that it can take."""
 AGENT_NOTE: Final = """\
 Carried by: heartbeats to two entries whatever their number; credits on outcomes;
 start records bounded in number; results bounded in bytes. See
-[design/credits.md](design/credits.md) and [design/gate.md](design/gate.md)."""
+[design/credits.md](../design/credits.md) and [design/gate.md](../design/gate.md)."""
 TABLE_NOTE: Final = """\
 Carried by: conditional transactions, one journal write in flight for each entry
 with all that waits, entries that look at the map every 5 s, agents that learn of
@@ -55,7 +56,7 @@
 EVENT_NOTE: Final = """\
 Silence is suspected after 3 s. A region cut costs each side the same as the loss
 of the other: news about its agents, and takeovers on the side that reaches the
-table. What each side may admit is in [design/membership.md](design/membership.md)."""
+table. What each side may admit is in [design/membership.md](../design/membership.md)."""
 
 
 def render_page(recording: Recording) -> str:
--- a/libs/endivetally/src/endivetally/commands/capacity.py
+++ b/libs/endivetally/src/endivetally/commands/capacity.py
@@ -57,7 +57,7 @@
         typer.Option(help='File of recorded slopes (costs per unit of load).'),
     ] = DEFAULT_RECORDING,
 ) -> None:
-    """Compute docs/CAPACITY.md from recorded slopes and print it."""
+    """Compute docs/capacity/keyed.md from recorded slopes and print it."""
     typer.echo(render_page(load_recording(recording)), nl=False)
 
 
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -24,7 +24,7 @@
 
 class TestPage:
     def test_the_committed_page_matches_the_recorded_slopes(self, recording):
-        assert (DOCS / 'CAPACITY.md').read_text() == render_page(recording)
+        assert (DOCS / 'capacity' / 'keyed.md').read_text() == render_page(recording)
 
     def test_every_slope_is_the_fit_of_its_points(self, recording):
         for slope in recording.slopes:
