--- a/libs/endivetally-policy/src/endivetally_policy/held/placement.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/placement.py
@@ -49,8 +49,7 @@
         """Return whether a task may be queued at the agent."""
         if not self.accepting or not self.capacity.covers(need):
             return False
-        lookahead_cpu = max(self.capacity.cpu * LOOKAHEAD_SHARE, need.cpu)
-        return self.backlog_cpu + need.cpu <= lookahead_cpu
+        return self.backlog_cpu + need.cpu <= self.capacity.cpu * LOOKAHEAD_SHARE
 
 
 def choose_agent(
