--- a/libs/endivetally/src/endivetally/capacity/page.py
+++ b/libs/endivetally/src/endivetally/capacity/page.py
@@ -20,11 +20,12 @@
 INTRODUCTION: Final = """\
 Measured with stand-ins of targets and of the table service, not on the users'
 platform; [../CAPACITY.md](../CAPACITY.md) is about held jobs there. This page is
-computed by `endivetally capacity page` from [slopes.json](slopes.json), which `endivetally bench control
---json` writes; a test compares the two. It extrapolates: nothing here ran at the
-size of the design. Sizes that were measured stand beside each slope. Processes
-shared one machine with other work; the standard error shows the scatter. Parts of
-the file may have been recorded at different times (`--only`)."""
+computed by `endivetally capacity page` from [slopes.json](slopes.json), which
+`endivetally bench control --json` writes; a test compares the two. It
+extrapolates: nothing here ran at the size of the design. Sizes that were measured
+stand beside each slope. Processes shared one machine with other work; the standard
+error shows the scatter. Parts of the file may have been recorded at different times
+(`--only`)."""
 ENTRIES_NOTE: Final = """\
 A mean job of 100 tasks is assumed; the journal's lines show other sizes. An entry
 is one process on one core. The busy share leaves room for bursts, and for the
@@ -56,7 +57,8 @@
 EVENT_NOTE: Final = """\
 Silence is suspected after 3 s. A region cut costs each side the same as the loss
 of the other: news about its agents, and takeovers on the side that reaches the
-table. What each side may admit is in [design/membership.md](../design/membership.md)."""
+table. What each side may admit is in
+[design/membership.md](../design/membership.md)."""
 
 
 def render_page(recording: Recording) -> str:
