--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -27,6 +27,16 @@
     minutes, entries, agents = size
     arguments = ['soak', '--seed', str(seed), '--minutes', minutes, '--json']
     arguments += ['--entries', entries, '--agents', agents, '--logs', str(tmp_path)]
+    check_run(arguments, seed)
+
+
+def test_no_guarantee_is_broken_in_a_large_deployment(tmp_path):
+    # A process was ended by a SIGHUP that arrived while it started.
+    arguments = ['soak', '--seed', '953', '--minutes', '0.25', '--json', '--large']
+    check_run([*arguments, '--logs', str(tmp_path)], 953)
+
+
+def check_run(arguments, seed):
     result = CliRunner().invoke(app, arguments)
     report = json.loads(result.stdout)
     assert report['violations'] == []
