--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -38,10 +38,9 @@
 SILENCE_RESET_GAP_S: Final = 2
 REFRESH_INTERVAL_S: Final = 5
 START_RETRY_S: Final = 0.5
-# How long an entry that starts waits for agents of a pool: the first time in any case,
-# the second while another entry has an open target of the pool. Agents try an entry
-# again within 10 s.
+# An entry that starts waits this long for agents of a pool that nobody serves.
 TARGETS_WAIT_S: Final = 3
+# For a pool that another entry serves; agents try an entry again within 10 s.
 SERVED_TARGETS_WAIT_S: Final = 12
 TARGETS_POLL_INTERVAL_S: Final = 0.05
 DRAIN_POLL_INTERVAL_S: Final = 0.05
