Log what the end of a run was concluded from, and runs that come back after it

Cause: the agents' logs could not tell the hypotheses of the postmortem apart. An end named no grounds, an accepted stop left no line, an unanswered command named neither run nor attempt, and a run that a target listed after its end was logged like any stray run.

No decision changes.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -67,6 +67,8 @@
     RUN_REFUSED = 'run_refused'
     RUN_STOPPED = 'run_stopped'
     RUN_ENDED = 'run_ended'
+    RUN_REAPPEARED = 'run_reappeared'
+    STOP_ACCEPTED = 'stop_accepted'
     COMMAND_UNANSWERED = 'order_unanswered'
     LINES_DROPPED = 'lines_dropped'
     LIBRARY_WARNING = 'library_warning'
--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -134,6 +134,8 @@
             run=run.run_number,
             end=end.value,
             run_ms=run_ms,
+            entry=run.entry,
+            evidence=run.evidence.value,
         )
         self._state_reporter.report_end(
             run.entry, RunEnded(run.task, run.run_number, end, run_ms)
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -35,6 +35,25 @@
     ENDED = enum.auto()
 
 
+class EndEvidence(enum.StrEnum):
+    """What an agent concluded the end of a run from.
+
+    ``LISTED``: the target listed the end. ``START_REFUSED``: the target refused the
+    start. ``ABSENT_AFTER_START``, ``ABSENT_AFTER_STOP``, ``ABSENT_UNANSWERED``: a poll
+    did not list the run, after an accepted start, an accepted stop, or a start without
+    a response. ``LEASE_OVER``: the lease has expired without a response of the target.
+    ``SESSION_LOST``: the target instance has ended or rejects this agent's commands.
+    """
+
+    LISTED = 'listed'
+    START_REFUSED = 'start_refused'
+    ABSENT_AFTER_START = 'absent_after_start'
+    ABSENT_AFTER_STOP = 'absent_after_stop'
+    ABSENT_UNANSWERED = 'absent_unanswered'
+    LEASE_OVER = 'lease_over'
+    SESSION_LOST = 'session_lost'
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One attempt to run a task; all times are monotonic, in seconds.
@@ -46,6 +65,8 @@
     :param start_sent_at: time of the start command.
     :param settled_at: time of the last response to a start or stop command, or of
         the start command's timeout; 0 before that.
+    :param evidence: what the end was concluded from, or would be if the next poll did
+        not list the run.
     :param observed: whether the target accepted the run or listed it.
     :param end_if_stopped: end to report once the run has stopped.
     :param progressed_at: time of the last increase of the progress.
@@ -62,6 +83,7 @@
     state: RunState = RunState.WAITING
     start_sent_at: float = 0
     settled_at: float = 0
+    evidence: EndEvidence = EndEvidence.ABSENT_UNANSWERED
     observed: bool = False
     end_if_stopped: RunEnd = RunEnd.STOPPED
     progress_percent: int = 0
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -18,6 +18,8 @@
 
 from endivetally_held.jobs import TaskKey
 from endivetally_held.lease import LeaseTracker
+from endivetally_held.reappearance import ReappearanceDetector
+from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
 from endivetally_held.runs import find_slow_runs
@@ -91,6 +93,7 @@
         self._clock = clock
         self._lease = LeaseTracker(report.clock_ms, clock)
         self._runs: dict[TaskKey, Run] = {}
+        self._reappearances = ReappearanceDetector(events, clock)
         self._last_end_sequence = 0
         self._failed_polls = 0
         self._tasks: set[asyncio.Future[None]] = set()
@@ -167,6 +170,10 @@
     def end_all_runs(self, end: RunEnd) -> None:
         """Report the end of every run, once none of them can still be running."""
         for run in list(self._runs.values()):
+            if end is RunEnd.LEASE_EXPIRED:
+                run.evidence = EndEvidence.LEASE_OVER
+            else:
+                run.evidence = EndEvidence.SESSION_LOST
             self._finish_run(run, end)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -185,19 +192,20 @@
         run.settled_at = self._clock()
         if response.result is CommandResult.ACCEPTED:
             run.observed = True
+            run.evidence = EndEvidence.ABSENT_AFTER_START
             if run.state is RunState.STOPPING:
                 await self._send_stop(run)
                 return
             run.state = RunState.RUNNING
             self._events.emit(
-                Event.RUN_STARTED,
-                task=str(run.task),
-                run=run.run_number,
-                took_ms=_to_milliseconds(run.settled_at - run.start_sent_at),
+                Event.RUN_STARTED, **_describe(run, self._clock() - run.start_sent_at)
             )
         elif response.result is CommandResult.UNANSWERED:
             self._events.emit(
-                Event.COMMAND_UNANSWERED, order='start', task=str(run.task)
+                Event.COMMAND_UNANSWERED,
+                order='start',
+                attempt=1,
+                **_describe(run, run.settled_at - run.start_sent_at),
             )
             if run.state is RunState.STARTING:
                 run.state = RunState.STOPPING
@@ -213,6 +221,7 @@
             run=run.run_number,
             reason=result.value,
         )
+        run.evidence = EndEvidence.START_REFUSED
         if result is CommandResult.UNHEALTHY and self.health.record_failure(
             run.task.job, self._clock()
         ):
@@ -225,13 +234,23 @@
 
     async def _send_stop(self, run: Run) -> None:
         """Repeat the stop command until the target accepts it or the run has ended."""
+        first_sent_at = self._clock()
+        attempt = 0
         while run.state is not RunState.ENDED:
+            attempt += 1
+            sent_at = self._clock()
             response = await self._target.stop_run(
                 run.task, run.run_number, self._lease.without_renewal
             )
             if response.result is CommandResult.ACCEPTED:
                 self._lease.record_response(response.clock_ms)
                 run.settled_at = self._clock()
+                run.evidence = EndEvidence.ABSENT_AFTER_STOP
+                self._events.emit(
+                    Event.STOP_ACCEPTED,
+                    attempt=attempt,
+                    **_describe(run, run.settled_at - first_sent_at),
+                )
                 return
             if response.result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
                 await self._lose_session(
@@ -239,7 +258,10 @@
                 )
                 return
             self._events.emit(
-                Event.COMMAND_UNANSWERED, order='stop', task=str(run.task)
+                Event.COMMAND_UNANSWERED,
+                order='stop',
+                attempt=attempt,
+                **_describe(run, self._clock() - sent_at),
             )
             await asyncio.sleep(STOP_RETRY_S)
 
@@ -336,7 +358,9 @@
     def _apply_end(self, ended: EndedRun) -> None:
         run = self._runs.get(ended.task)
         if run is None or run.run_number != ended.run_number:
+            self._reappearances.check(ended.task, ended.run_number, ended.end)
             return
+        run.evidence = EndEvidence.LISTED
         run_s = self._clock() - run.start_sent_at
         if ended.end is RunEnd.STOPPED and run.state is RunState.STOPPING:
             self._finish_run(run, _resolve_stopped_end(run.end_if_stopped), run_s)
@@ -356,6 +380,7 @@
         run = self._runs.get(active.task)
         if run is None or run.run_number != active.run_number:
             # Started by an earlier process of this agent, or by a delayed command.
+            self._reappearances.check(active.task, active.run_number, None)
             self._spawn(self._stop_orphan(active))
             return
         run.observed = True
@@ -413,6 +438,7 @@
         run.state = RunState.ENDED
         self._runs.pop(run.task, None)
         self.reservations.release(run.task)
+        self._reappearances.record_end(run)
         self._listener.run_ended(run, end, run_s)
 
 
@@ -432,5 +458,17 @@
     return RunEnd.STOPPED if end is RunEnd.REFUSED_TARGET else end
 
 
+def _describe(run: Run, took_s: float) -> dict[str, Any]:
+    """Return the fields of an event about a command.
+
+    :param took_s: seconds since the command was sent.
+    """
+    return {
+        'task': str(run.task),
+        'run': run.run_number,
+        'took_ms': _to_milliseconds(took_s),
+    }
+
+
 def _to_milliseconds(seconds: float) -> int:
     return int(seconds * 1000)
