Add failing tests of starts that are held apart from polls

Evidence: the stand-in of a target carried out an unanswered command 2 to 12 s later, so always after its deadline of 0.8 s: no test had played a start that comes late and yet in time. It now holds each start and each stop by itself. Rows of the table in which the stop is answered, or the start comes after its deadline, pass.

--- a/libs/endivetally-standins/src/endivetally_standins/held_target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/held_target.py
@@ -55,7 +55,11 @@
     """Faults that a test injects.
 
     :param unanswered_share: share of the commands that get no response and are
-        carried out seconds later.
+        carried out later.
+    :param late_command_delay_s: shortest and longest delay of these commands.
+    :param start_delay_s: seconds after which each start is carried out; it gets a
+        response only if this is shorter than the time-out of commands.
+    :param stop_delay_s: the same for stops.
     :param unresponsive: no poll gets a response and all commands are treated as
         unanswered; active runs continue.
     :param runs_fail: runs fail when their run time is over.
@@ -64,6 +68,9 @@
     """
 
     unanswered_share: float = 0
+    late_command_delay_s: tuple[float, float] = LATE_COMMAND_DELAY_S
+    start_delay_s: float = 0
+    stop_delay_s: float = 0
     unresponsive: bool = False
     runs_fail: bool = False
     runs_hang: bool = False
@@ -203,7 +210,8 @@
     ) -> CommandResponse:
         """Start a run, unless its lease or its run number is out of date."""
         return await self._execute_command(
-            lambda: self._apply_start(task, run_number, lease)
+            lambda: self._apply_start(task, run_number, lease),
+            self.faults.start_delay_s,
         )
 
     async def stop_run(
@@ -211,7 +219,8 @@
     ) -> CommandResponse:
         """Stop the run and earlier ones; later commands to start them fail."""
         return await self._execute_command(
-            lambda: self._apply_stop(task, run_number, lease)
+            lambda: self._apply_stop(task, run_number, lease),
+            self.faults.stop_delay_s,
         )
 
     async def poll(
@@ -263,14 +272,18 @@
         )
 
     async def _execute_command(
-        self, apply: Callable[[], CommandResult]
+        self, apply: Callable[[], CommandResult], delay_s: float
     ) -> CommandResponse:
         await asyncio.sleep(CALL_LATENCY_S)
         if (
             self.faults.unresponsive
             or self._rng.random() < self.faults.unanswered_share
         ):
-            self._call_later(self._rng.uniform(*LATE_COMMAND_DELAY_S), apply)
+            delay_s = self._rng.uniform(*self.faults.late_command_delay_s)
+        if delay_s < UNANSWERED_DELAY_S:
+            await asyncio.sleep(delay_s)
+        else:
+            self._call_later(delay_s, apply)
             await asyncio.sleep(UNANSWERED_DELAY_S)
             return CommandResponse(CommandResult.UNANSWERED)
         if self.has_ended:
--- a/tests/held/test_no_concurrent_runs.py
+++ b/tests/held/test_no_concurrent_runs.py
@@ -1,7 +1,7 @@
 """Random faults: no task runs twice at once, no target exceeds its capacity.
 
 Processes are killed and frozen, connections partitioned, targets crash, and commands
-are left unanswered, while callers submit jobs and resend them to other entries.
+are held or left unanswered, while callers submit jobs and resend them elsewhere.
 """
 
 import asyncio
@@ -90,10 +90,10 @@
     await cluster.create_target(agent)
 
 
-async def leave_commands_unanswered(cluster, rng, duration_s):
-    """Leave some commands unanswered; the target executes them seconds later."""
+async def leave_commands_unanswered(cluster, rng, duration_s, share=0.2):
+    """Leave some commands unanswered; the target executes them later."""
     target = cluster.targets[rng.choice(cluster.agent_names)]
-    target.faults.unanswered_share = 0.2
+    target.faults.unanswered_share = share
     await asyncio.sleep(duration_s)
     target.faults.unanswered_share = 0
 
@@ -112,16 +112,23 @@
     await rng.choice(faults)()
 
 
-async def run_with_cluster(seed):
-    cluster = Cluster(entries=3, agents=4, run_s=0.4, seed=seed)
+async def hold_commands(cluster, rng):
+    """Hold half of the commands to one target, each for up to two seconds."""
+    target = cluster.targets[rng.choice(cluster.agent_names)]
+    target.faults.late_command_delay_s = (0.3, 2)
+    await leave_commands_unanswered(cluster, rng, rng.choice((1.5, 4)), share=0.5)
+
+
+async def run_with_cluster(seed, inject=inject_fault, run_s=0.4):
+    cluster = Cluster(entries=3, agents=4, run_s=run_s, seed=seed)
     await cluster.start()
     try:
-        await run_random_faults(cluster, random.Random(seed))
+        await run_random_faults(cluster, random.Random(seed), inject)
     finally:
         cluster.resume_all()
 
 
-async def run_random_faults(cluster, rng):
+async def run_random_faults(cluster, rng, inject):
     tally = {'answered': 0, 'resent': {}}
     tasks = []
     end = cluster.loop.time() + DURATION_S
@@ -132,7 +139,7 @@
             asyncio.ensure_future(submit_until_final(cluster, rng, number, tally))
         )
         if rng.random() < 0.04:
-            tasks.append(asyncio.ensure_future(inject_fault(cluster, rng)))
+            tasks.append(asyncio.ensure_future(inject(cluster, rng)))
         await asyncio.sleep(rng.expovariate(15))
     await asyncio.gather(*tasks)
     # Delayed commands are executed within 12 s.
@@ -144,3 +151,35 @@
 @pytest.mark.parametrize('seed', range(12))
 def test_random_faults_cause_no_concurrent_runs_and_no_overload(seed):
     run_virtually(run_with_cluster(seed))
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_commands_held_longer_than_polls_cause_no_concurrent_runs(seed):
+    run_virtually(run_with_cluster(seed, hold_commands, run_s=1))
+
+
+async def run_with_held_start(start_delay_s, stop_delay_s):
+    cluster = Cluster(entries=1, agents=2, run_s=1)
+    await cluster.start()
+    try:
+        faults = cluster.targets['agent-0'].faults
+        faults.start_delay_s = start_delay_s
+        faults.stop_delay_s = stop_delay_s
+        response = await cluster.submit(
+            'entry-0', job('a', count=8, timeout_s=4, estimate_s=1)
+        )
+        await asyncio.sleep(3)
+        assert cluster.run_history.violations == []
+        assert response.result is JobResult.COMPLETED
+    finally:
+        cluster.resume_all()
+
+
+@pytest.mark.parametrize(
+    ('start_delay_s', 'stop_delay_s'),
+    [(0.7, 1.84), (0.35, 0.9), (0.35, 0), (0.7, 0), (1.97, 0), (1.97, 1.84)],
+)
+def test_start_carried_out_after_its_time_out_does_not_run_beside_the_next_run(
+    start_delay_s, stop_delay_s
+):
+    run_virtually(run_with_held_start(start_delay_s, stop_delay_s))
