Report the end of a run only once its start can't be carried out any more

Cause: an unanswered start counted as settled, so the next poll that did not list the run ended it as refused_target, and the entry ran the task elsewhere. A poll overtakes a start that is held; it shows the target before the start, not after it.

Change: a run that a poll does not list has ended only if that poll was sent after the start was accepted, after a stop was accepted, or after a response of the target showed a clock past the start's own deadline. Until then the task and its capacity stay reserved. A poll waits no longer than until that deadline.

Why it works: each of the three is an answer of the target instance itself, given after which it refuses the start, and the poll asks it later than that.

--- a/libs/endivetally-held/src/endivetally_held/lease.py
+++ b/libs/endivetally-held/src/endivetally_held/lease.py
@@ -58,6 +58,10 @@
             self._token, int(self._clock() * 1000 + self._clock_offset_ms) + LEASE_MS
         )
 
+    def estimate_wait_s(self, clock_ms: int) -> float:
+        """Return the expected seconds until the target's clock shows a time."""
+        return (clock_ms - self._clock_offset_ms) / 1000 - self._clock()
+
     def record_response(self, clock_ms: int | None) -> None:
         """Record a response of the target.
 
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -39,17 +39,18 @@
     """What an agent concluded the end of a run from.
 
     ``LISTED``: the target listed the end. ``START_REFUSED``: the target refused the
-    start. ``ABSENT_AFTER_START``, ``ABSENT_AFTER_STOP``, ``ABSENT_UNANSWERED``: a poll
-    did not list the run, after an accepted start, an accepted stop, or a start without
-    a response. ``LEASE_OVER``: the lease has expired without a response of the target.
-    ``SESSION_LOST``: the target instance has ended or rejects this agent's commands.
+    start. ``ABSENT_AFTER_START``, ``ABSENT_AFTER_STOP``, ``ABSENT_AFTER_DEADLINE``: a
+    poll did not list the run, after an accepted start, an accepted stop, or the time
+    from which the target refuses the start. ``LEASE_OVER``: the lease has expired
+    without a response of the target. ``SESSION_LOST``: the target instance has ended
+    or rejects this agent's commands.
     """
 
     LISTED = 'listed'
     START_REFUSED = 'start_refused'
     ABSENT_AFTER_START = 'absent_after_start'
     ABSENT_AFTER_STOP = 'absent_after_stop'
-    ABSENT_UNANSWERED = 'absent_unanswered'
+    ABSENT_AFTER_DEADLINE = 'absent_after_deadline'
     LEASE_OVER = 'lease_over'
     SESSION_LOST = 'session_lost'
 
@@ -63,8 +64,10 @@
         runs with lower values start first.
     :param expires_at: time from which the run must not start any more.
     :param start_sent_at: time of the start command.
-    :param settled_at: time of the last response to a start or stop command, or of
-        the start command's timeout; 0 before that.
+    :param start_expires_at_ms: time on the target's clock from which it refuses the
+        start command.
+    :param settled_at: time since which a run that the target does not list can't start
+        any more; 0 while it can.
     :param evidence: what the end was concluded from, or would be if the next poll did
         not list the run.
     :param observed: whether the target accepted the run or listed it.
@@ -82,13 +85,22 @@
     expires_at: float
     state: RunState = RunState.WAITING
     start_sent_at: float = 0
+    start_expires_at_ms: int = 0
     settled_at: float = 0
-    evidence: EndEvidence = EndEvidence.ABSENT_UNANSWERED
+    evidence: EndEvidence = EndEvidence.ABSENT_AFTER_DEADLINE
     observed: bool = False
     end_if_stopped: RunEnd = RunEnd.STOPPED
     progress_percent: int = 0
     progressed_at: float = 0
 
+    def settle(self, now: float, evidence: EndEvidence) -> None:
+        """Record that the run has started, or can't start any more.
+
+        :param evidence: what tells this.
+        """
+        self.settled_at = now
+        self.evidence = evidence
+
 
 def may_never_have_started(run: Run) -> bool:
     """Return whether a run may never have started although it was commanded.
@@ -98,6 +110,16 @@
     return bool(run.settled_at) and not run.observed
 
 
+def settle_expired_starts(runs: Iterable[Run], clock_ms: int, now: float) -> None:
+    """Settle the runs whose start the target refuses from now on.
+
+    :param clock_ms: the target's clock, in its newest response.
+    """
+    for run in runs:
+        if not run.settled_at and run.start_expires_at_ms < clock_ms:
+            run.settle(now, EndEvidence.ABSENT_AFTER_DEADLINE)
+
+
 def is_stalled(run: Run, now: float) -> bool:
     """Return whether a run has made no progress for too long."""
     return now - run.progressed_at > max(MIN_STALL_S, run.expected_run_s * STALL_FACTOR)
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -18,26 +18,24 @@
 
 from endivetally_held.jobs import TaskKey
 from endivetally_held.lease import LeaseTracker
+from endivetally_held.poll_waits import choose_poll_wait
 from endivetally_held.reappearance import ReappearanceDetector
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
 from endivetally_held.runs import find_slow_runs
 from endivetally_held.runs import is_stalled
-from endivetally_held.runs import may_never_have_started
+from endivetally_held.runs import settle_expired_starts
 from endivetally_held.target_client import ActiveRun
 from endivetally_held.target_client import CommandResult
 from endivetally_held.target_client import EndedRun
+from endivetally_held.target_client import FencedLease
 from endivetally_held.target_client import PollFailed
 from endivetally_held.target_client import PollResult
 from endivetally_held.target_client import TargetClient
 from endivetally_held.target_client import TargetReport
 from endivetally_held.target_client import TargetSessionLost
 
-# Longest wait of a long poll. Three polls fit into one lease, which each of them
-# renews. Without runs there is no lease to renew; the start of the next run renews it.
-POLL_WAIT_S: Final = 0.2
-IDLE_POLL_WAIT_S: Final = 0.4
 # Time for the response beyond the wait; a response takes a few milliseconds.
 POLL_RESPONSE_S: Final = 0.25
 STOP_RETRY_S: Final = 0.1
@@ -141,7 +139,9 @@
         run.start_sent_at = self._clock()
         run.progressed_at = run.start_sent_at
         self._runs[run.task] = run
-        self._spawn(self._send_start(run))
+        lease = self._lease.renew()
+        run.start_expires_at_ms = lease.expires_at_ms or 0
+        self._spawn(self._send_start(run, lease))
         return True
 
     def stop_run(self, run: Run, end: RunEnd = RunEnd.STOPPED) -> None:
@@ -181,31 +181,31 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_start(self, run: Run) -> None:
+    async def _send_start(self, run: Run, lease: FencedLease) -> None:
         response = await self._target.start_run(
-            run.task, run.run_number, run.payload, self._lease.renew()
+            run.task, run.run_number, run.payload, lease
         )
         if response.result is not CommandResult.UNANSWERED:
             self._lease.record_response(response.clock_ms)
         if run.state is RunState.ENDED:
             return
-        run.settled_at = self._clock()
+        now = self._clock()
         if response.result is CommandResult.ACCEPTED:
             run.observed = True
-            run.evidence = EndEvidence.ABSENT_AFTER_START
+            run.settle(now, EndEvidence.ABSENT_AFTER_START)
             if run.state is RunState.STOPPING:
                 await self._send_stop(run)
                 return
             run.state = RunState.RUNNING
             self._events.emit(
-                Event.RUN_STARTED, **_describe(run, self._clock() - run.start_sent_at)
+                Event.RUN_STARTED, **_describe(run, now - run.start_sent_at)
             )
         elif response.result is CommandResult.UNANSWERED:
             self._events.emit(
                 Event.COMMAND_UNANSWERED,
                 order='start',
                 attempt=1,
-                **_describe(run, run.settled_at - run.start_sent_at),
+                **_describe(run, now - run.start_sent_at),
             )
             if run.state is RunState.STARTING:
                 run.state = RunState.STOPPING
@@ -244,8 +244,7 @@
             )
             if response.result is CommandResult.ACCEPTED:
                 self._lease.record_response(response.clock_ms)
-                run.settled_at = self._clock()
-                run.evidence = EndEvidence.ABSENT_AFTER_STOP
+                run.settle(self._clock(), EndEvidence.ABSENT_AFTER_STOP)
                 self._events.emit(
                     Event.STOP_ACCEPTED,
                     attempt=attempt,
@@ -292,12 +291,11 @@
         # runs alive that nobody observes.
         unresponsive = self._failed_polls > 1
         lease = self._lease.without_renewal if unresponsive else self._lease.renew()
-        at_once = self._failed_polls or any(
-            map(may_never_have_started, self._runs.values())
+        wait_s = (
+            0
+            if self._failed_polls
+            else choose_poll_wait(self._runs.values(), self._lease)
         )
-        wait_s = POLL_WAIT_S if self._runs else IDLE_POLL_WAIT_S
-        if at_once:
-            wait_s = 0
         return await self._target.poll(
             lease, self._last_end_sequence, wait_s, wait_s + POLL_RESPONSE_S
         )
@@ -341,6 +339,7 @@
             self._apply_progress(active)
         self._move_slow_runs()
         self._finish_missing(poll_result, sent_at)
+        settle_expired_starts(self._runs.values(), poll_result.clock_ms, self._clock())
         if not self.orphans_ended and not poll_result.running:
             self.orphans_ended = True
             self._listener.capacity_changed()
