Bound the time until a run has ended whose stop the target does not answer

A caller that left, or whose entry was killed, sends its job to another entry 1.3 s later; an entry that lost the link to an agent runs the task elsewhere after 1.74 s. Both counted on the stop that had been sent, while the agent went on to renew the lease of a run whose stop was unanswered: two runs at once.

Cause: a command that was sent was taken as carried out.

Evidence: test_run_whose_stop_is_unanswered_has_ended_before_the_task_runs_elsewhere failed in all three cases (caller leaves, entry killed, link cut) before.

If an entry asked for the stop and none was accepted after 0.3 s, the lease is not renewed and nothing starts at this target until one is: renewal_paused in the log. RERUN_WAIT_S is built from these bounds (1.84 s, was 1.74 s).

Why it works: the lease is the only thing that needs no answer. It ends the run 0.3 + 0.84 s after the request, before the caller's 1.3 s and the entry's wait.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -69,6 +69,7 @@
     RUN_ENDED = 'run_ended'
     RUN_REAPPEARED = 'run_reappeared'
     STOP_ACCEPTED = 'stop_accepted'
+    RENEWAL_PAUSED = 'renewal_paused'
     COMMAND_UNANSWERED = 'order_unanswered'
     LINES_DROPPED = 'lines_dropped'
     LIBRARY_WARNING = 'library_warning'
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -34,19 +34,20 @@
 from endivetally_held.jobs import HeldJob
 from endivetally_held.jobs import JobResponse
 from endivetally_held.jobs import JobResult
-from endivetally_held.lease import CLOCK_DRIFT_FACTOR
-from endivetally_held.lease import LEASE_MS
 from endivetally_held.messages import RunEnded
 from endivetally_held.metrics import EntryMetrics
 from endivetally_held.open_job import HeldTask
 from endivetally_held.open_job import OpenJob
 from endivetally_held.open_job import TaskState
+from endivetally_held.session import LONGEST_STOP_S
 
 TICK_INTERVAL_S: Final = 0.025
+# Longest interval between the checks of an agent for silent entries.
+SILENCE_CHECK_S: Final = 0.1
 # After a connection ends, its agent stops the runs of this entry once it has received
 # nothing for the peer timeout. If the agent is paused, the lease of the runs expires
-# instead. The remaining 0.3 s cover the intervals between checks and the stop itself.
-RERUN_WAIT_S: Final = PEER_TIMEOUT_S + LEASE_MS / 1000 * CLOCK_DRIFT_FACTOR + 0.3
+# instead.
+RERUN_WAIT_S: Final = PEER_TIMEOUT_S + SILENCE_CHECK_S + LONGEST_STOP_S
 # Delay before a refused task is sent again.
 REFUSAL_RETRY_S: Final = 0.02
 # Responses are sent this time before the caller's deadline.
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -1,9 +1,11 @@
 """Runs of tasks as an agent tracks them."""
 
 import enum
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 from typing import Final
 
 from endivetally_policy.held import SLOW_LOG_ODDS
@@ -73,6 +75,8 @@
     :param observed: whether the target accepted the run or listed it.
     :param end_if_stopped: end to report once the run has stopped.
     :param progressed_at: time of the last increase of the progress.
+    :param stop_overdue_at: time from which the lease is not renewed unless the target
+        has accepted the stop that the entry requested.
     """
 
     task: TaskKey
@@ -92,6 +96,7 @@
     end_if_stopped: RunEnd = RunEnd.STOPPED
     progress_percent: int = 0
     progressed_at: float = 0
+    stop_overdue_at: float = math.inf
 
     def settle(self, now: float, evidence: EndEvidence) -> None:
         """Record that the run has started, or can't start any more.
@@ -120,6 +125,24 @@
             run.settle(now, EndEvidence.ABSENT_AFTER_DEADLINE)
 
 
+def is_stop_overdue(run: Run, now: float) -> bool:
+    """Return whether the lease of a run must expire for the run to end in time."""
+    accepted = run.evidence is EndEvidence.ABSENT_AFTER_STOP
+    return run.stop_overdue_at <= now and not accepted
+
+
+def describe_command(run: Run, took_s: float) -> dict[str, Any]:
+    """Return the fields of an event about a command.
+
+    :param took_s: seconds since the command was sent.
+    """
+    return {
+        'task': str(run.task),
+        'run': run.run_number,
+        'took_ms': int(took_s * 1000),
+    }
+
+
 def is_stalled(run: Run, now: float) -> bool:
     """Return whether a run has made no progress for too long."""
     return now - run.progressed_at > max(MIN_STALL_S, run.expected_run_s * STALL_FACTOR)
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -17,15 +17,20 @@
 from endivetally_policy.held import TargetHealth
 
 from endivetally_held.jobs import TaskKey
+from endivetally_held.lease import CLOCK_DRIFT_FACTOR
+from endivetally_held.lease import LEASE_MS
 from endivetally_held.lease import LeaseTracker
 from endivetally_held.poll_waits import choose_poll_wait
 from endivetally_held.reappearance import ReappearanceDetector
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
+from endivetally_held.runs import describe_command
 from endivetally_held.runs import find_slow_runs
 from endivetally_held.runs import is_stalled
+from endivetally_held.runs import is_stop_overdue
 from endivetally_held.runs import settle_expired_starts
+from endivetally_held.stops import StopSender
 from endivetally_held.target_client import ActiveRun
 from endivetally_held.target_client import CommandResult
 from endivetally_held.target_client import EndedRun
@@ -38,8 +43,11 @@
 
 # Time for the response beyond the wait; a response takes a few milliseconds.
 POLL_RESPONSE_S: Final = 0.25
-STOP_RETRY_S: Final = 0.1
 POLL_RETRY_S: Final = 0.05
+# The lease is no longer renewed when the target has not accepted a stop in this time.
+STOP_GRACE_S: Final = 0.3
+# Time from the request of an entry to stop a run until the run has ended.
+LONGEST_STOP_S: Final = STOP_GRACE_S + LEASE_MS / 1000 * CLOCK_DRIFT_FACTOR
 
 
 class SessionListener(ABC):
@@ -92,8 +100,10 @@
         self._lease = LeaseTracker(report.clock_ms, clock)
         self._runs: dict[TaskKey, Run] = {}
         self._reappearances = ReappearanceDetector(events, clock)
+        self._stops = StopSender(target, self._lease, events, clock, self._lose_session)
         self._last_end_sequence = 0
         self._failed_polls = 0
+        self._renewal_paused = False
         self._tasks: set[asyncio.Future[None]] = set()
         self._closed = False
 
@@ -111,7 +121,9 @@
 
     def may_start(self) -> bool:
         """Return whether another run may start now, if the capacity allows it."""
-        return self.accepting and self.health.may_start(len(self._runs), self._clock())
+        if not self.accepting or self._find_overdue_stop():
+            return False
+        return self.health.may_start(len(self._runs), self._clock())
 
     def has_run(self, task: TaskKey) -> bool:
         """Return whether a run of a task was started here and has not ended."""
@@ -151,20 +163,23 @@
         """
         if run.state not in {RunState.STARTING, RunState.RUNNING}:
             return
-        starting = run.state is RunState.STARTING
         run.state = RunState.STOPPING
         run.end_if_stopped = end
-        if not starting:
-            self._spawn(self._send_stop(run))
+        # A target refuses a start that it receives after the stop.
+        self._spawn(self._stops.stop(run))
 
     def stop_runs_of(self, entry: str, tasks: Container[TaskKey] | None = None) -> None:
         """Stop the runs that an entry requested.
 
+        They end within ``LONGEST_STOP_S``, whether or not the target responds.
+
         :param entry: incarnation of the entry.
         :param tasks: stop only the runs of these tasks; all runs by default.
         """
+        overdue_at = self._clock() + STOP_GRACE_S
         for run in list(self._runs.values()):
             if run.entry == entry and (tasks is None or run.task in tasks):
+                run.stop_overdue_at = min(run.stop_overdue_at, overdue_at)
                 self.stop_run(run)
 
     def end_all_runs(self, end: RunEnd) -> None:
@@ -192,25 +207,21 @@
         now = self._clock()
         if response.result is CommandResult.ACCEPTED:
             run.observed = True
-            run.settle(now, EndEvidence.ABSENT_AFTER_START)
             if run.state is RunState.STOPPING:
-                await self._send_stop(run)
                 return
+            run.settle(now, EndEvidence.ABSENT_AFTER_START)
             run.state = RunState.RUNNING
             self._events.emit(
-                Event.RUN_STARTED, **_describe(run, now - run.start_sent_at)
+                Event.RUN_STARTED, **describe_command(run, now - run.start_sent_at)
             )
         elif response.result is CommandResult.UNANSWERED:
             self._events.emit(
                 Event.COMMAND_UNANSWERED,
                 order='start',
                 attempt=1,
-                **_describe(run, now - run.start_sent_at),
+                **describe_command(run, now - run.start_sent_at),
             )
-            if run.state is RunState.STARTING:
-                run.state = RunState.STOPPING
-                run.end_if_stopped = RunEnd.REFUSED_TARGET
-            await self._send_stop(run)
+            self.stop_run(run, RunEnd.REFUSED_TARGET)
         else:
             await self._handle_refusal(run, response.result)
 
@@ -228,41 +239,7 @@
             self._report_health()
         self._finish_run(run, _REFUSALS.get(result, RunEnd.REFUSED_TARGET))
         if result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
-            await self._lose_session(
-                target_ended=result is CommandResult.WRONG_INSTANCE
-            )
-
-    async def _send_stop(self, run: Run) -> None:
-        """Repeat the stop command until the target accepts it or the run has ended."""
-        first_sent_at = self._clock()
-        attempt = 0
-        while run.state is not RunState.ENDED:
-            attempt += 1
-            sent_at = self._clock()
-            response = await self._target.stop_run(
-                run.task, run.run_number, self._lease.without_renewal
-            )
-            if response.result is CommandResult.ACCEPTED:
-                self._lease.record_response(response.clock_ms)
-                run.settle(self._clock(), EndEvidence.ABSENT_AFTER_STOP)
-                self._events.emit(
-                    Event.STOP_ACCEPTED,
-                    attempt=attempt,
-                    **_describe(run, run.settled_at - first_sent_at),
-                )
-                return
-            if response.result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
-                await self._lose_session(
-                    target_ended=response.result is CommandResult.WRONG_INSTANCE
-                )
-                return
-            self._events.emit(
-                Event.COMMAND_UNANSWERED,
-                order='stop',
-                attempt=attempt,
-                **_describe(run, self._clock() - sent_at),
-            )
-            await asyncio.sleep(STOP_RETRY_S)
+            await self._lose_session(result is CommandResult.WRONG_INSTANCE)
 
     async def _poll_repeatedly(self) -> None:
         while not self._closed:
@@ -273,7 +250,7 @@
                 await self._handle_failed_poll(str(error))
                 continue
             except TargetSessionLost as error:
-                await self._lose_session(target_ended=error.target_ended)
+                await self._lose_session(error.target_ended)
                 return
             if self._failed_polls > 1:
                 self._listener.capacity_changed()
@@ -289,8 +266,10 @@
             )
         # If the target processes polls but its responses are lost, renewals would keep
         # runs alive that nobody observes.
-        unresponsive = self._failed_polls > 1
-        lease = self._lease.without_renewal if unresponsive else self._lease.renew()
+        overdue = self._find_overdue_stop()
+        self._report_pause(overdue)
+        may_renew = self._failed_polls <= 1 and overdue is None
+        lease = self._lease.renew() if may_renew else self._lease.without_renewal
         wait_s = (
             0
             if self._failed_polls
@@ -300,6 +279,22 @@
             lease, self._last_end_sequence, wait_s, wait_s + POLL_RESPONSE_S
         )
 
+    def _find_overdue_stop(self) -> Run | None:
+        now = self._clock()
+        return next(
+            (run for run in self._runs.values() if is_stop_overdue(run, now)), None
+        )
+
+    def _report_pause(self, overdue: Run | None) -> None:
+        if overdue is not None and not self._renewal_paused:
+            self._events.emit(
+                Event.RENEWAL_PAUSED,
+                entry=overdue.entry,
+                running=len(self._runs),
+                **describe_command(overdue, self._clock() - overdue.start_sent_at),
+            )
+        self._renewal_paused = overdue is not None
+
     async def _handle_failed_poll(self, reason: str) -> None:
         self._failed_polls += 1
         if self._failed_polls == 2:
@@ -315,7 +310,7 @@
             self.end_all_runs(RunEnd.LEASE_EXPIRED)
         await asyncio.sleep(POLL_RETRY_S)
 
-    async def _lose_session(self, *, target_ended: bool) -> None:
+    async def _lose_session(self, target_ended: bool) -> None:
         """Report the lost session once none of its runs can still be running."""
         if self._closed:
             return
@@ -337,7 +332,12 @@
                 self._apply_end(ended)
         for active in poll_result.running:
             self._apply_progress(active)
-        self._move_slow_runs()
+        now = self._clock()
+        active_runs = [
+            run for run in self._runs.values() if run.state is RunState.RUNNING
+        ]
+        for run in find_slow_runs(active_runs, now):
+            self._move_run(run, now, 'slow')
         self._finish_missing(poll_result, sent_at)
         settle_expired_starts(self._runs.values(), poll_result.clock_ms, self._clock())
         if not self.orphans_ended and not poll_result.running:
@@ -390,12 +390,6 @@
         if run.state is RunState.RUNNING and is_stalled(run, now):
             self._move_run(run, now, 'stalled')
 
-    def _move_slow_runs(self) -> None:
-        now = self._clock()
-        running = [run for run in self._runs.values() if run.state is RunState.RUNNING]
-        for run in find_slow_runs(running, now):
-            self._move_run(run, now, 'slow')
-
     def _move_run(self, run: Run, now: float, reason: str) -> None:
         """Stop a run, with an end after which the entry runs the task elsewhere."""
         self._events.emit(
@@ -457,17 +451,5 @@
     return RunEnd.STOPPED if end is RunEnd.REFUSED_TARGET else end
 
 
-def _describe(run: Run, took_s: float) -> dict[str, Any]:
-    """Return the fields of an event about a command.
-
-    :param took_s: seconds since the command was sent.
-    """
-    return {
-        'task': str(run.task),
-        'run': run.run_number,
-        'took_ms': _to_milliseconds(took_s),
-    }
-
-
 def _to_milliseconds(seconds: float) -> int:
     return int(seconds * 1000)
--- a/tests/held/test_no_concurrent_runs.py
+++ b/tests/held/test_no_concurrent_runs.py
@@ -183,3 +183,45 @@
     start_delay_s, stop_delay_s
 ):
     run_virtually(run_with_held_start(start_delay_s, stop_delay_s))
+
+
+async def leave_job(cluster, job_call):
+    """Cancel the call of a caller, who sends the job to another entry 1.3 s later."""
+    job_call.cancel()
+    await asyncio.sleep(RESEND_S)
+    await cluster.submit('entry-1', job('a', count=8, timeout_s=8, estimate_s=4))
+
+
+async def kill_entry(cluster, job_call):
+    """Kill the entry of a job; the caller sends the job to another one 1.3 s later."""
+    cluster.nodes['entry-0'].kill()
+    await leave_job(cluster, job_call)
+
+
+async def cut_link(cluster, job_call):
+    """Cut the link between the entry and an agent."""
+    cluster.network.partition('entry-0', 'agent-0')
+    cluster.network.partition('agent-0', 'entry-0')
+    await job_call
+
+
+async def run_with_unanswered_stops(lose_job):
+    cluster = Cluster(entries=2, agents=2, run_s=4)
+    await cluster.start()
+    try:
+        cluster.targets['agent-0'].faults.stop_delay_s = 20
+        first_job = job('a', count=8, timeout_s=10, estimate_s=4)
+        job_call = asyncio.ensure_future(cluster.submit('entry-0', first_job))
+        await asyncio.sleep(0.5)
+        assert len({run.target for run in cluster.run_history.runs}) == 2
+        await lose_job(cluster, job_call)
+        assert cluster.run_history.violations == []
+    finally:
+        cluster.resume_all()
+
+
+@pytest.mark.parametrize('lose_job', [leave_job, kill_entry, cut_link])
+def test_run_whose_stop_is_unanswered_has_ended_before_the_task_runs_elsewhere(
+    lose_job,
+):
+    run_virtually(run_with_unanswered_stops(lose_job))
