Count a command whose response the platform does not name as unanswered

What callers would see: a task runs twice at once, if a start is answered with, say, 500 or 502 and is carried out all the same. Not seen in the users' record.

Cause: any status without a meaning of its own became UNHEALTHY, which ends the run as never started, and the entry runs it elsewhere at once. The platform promises only for 429 and 503 that nothing was done. A 409 without a named reason, or with a body that can't be decoded, became TOO_LATE in the same way.

Evidence: 18 new rows of test_response_to_a_command_becomes_a_result failed before (unhealthy or too_late in place of unanswered); the rows for 200, 400 and 503 with a body that can't be decoded, and for 409 with 'ticket', passed and still pass.

Change: results are read from named statuses and reasons only; all else is UNANSWERED, after which the run is stopped and its end awaited. The event response_not_understood names target, path, status and reason.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -70,6 +70,7 @@
     RUN_REAPPEARED = 'run_reappeared'
     STOP_ACCEPTED = 'stop_accepted'
     COMMAND_UNANSWERED = 'order_unanswered'
+    RESPONSE_NOT_UNDERSTOOD = 'response_not_understood'
     LINES_DROPPED = 'lines_dropped'
     LIBRARY_WARNING = 'library_warning'
     UNEXPECTED_ERROR = 'unexpected_error'
--- a/tests/adapter/test_target_client.py
+++ b/tests/adapter/test_target_client.py
@@ -5,6 +5,8 @@
 import pytest
 from adapter.servers import ScriptedTarget
 from adapter.servers import serve
+from endivetally_core.events import Event
+from endivetally_core.events import EventLog
 from endivetally_held.jobs import TaskKey
 from endivetally_held.target_client import ActiveRun
 from endivetally_held.target_client import CommandResult
@@ -34,13 +36,17 @@
 }
 
 
+def create_events():
+    return EventLog('test', 'test', write=lambda lines: None)
+
+
 @pytest.fixture
 async def target_and_client():
     """Yield a scripted target and a client that is connected to it."""
     target = ScriptedTarget()
     async with serve(target.create_application()) as address:
         report = TargetReport('i-1', 'pool', address, Resources(1, 1), False, 0, 0)
-        client = HttpTargetClientFactory().create_client(report)
+        client = HttpTargetClientFactory(create_events()).create_client(report)
         yield target, client
         await client.close()
 
@@ -75,6 +81,20 @@
         (421, '', CommandResult.WRONG_INSTANCE),
         (429, '', CommandResult.UNHEALTHY),
         (503, '', CommandResult.UNHEALTHY),
+        (409, 'ticket', CommandResult.TOO_LATE),
+        # Nothing is known of the effect of a command after these.
+        (409, 'strange', CommandResult.UNANSWERED),
+        (409, '', CommandResult.UNANSWERED),
+        (200, None, CommandResult.ACCEPTED),
+        (409, None, CommandResult.UNANSWERED),
+        (400, None, CommandResult.MALFORMED),
+        (503, None, CommandResult.UNHEALTHY),
+        (202, '', CommandResult.UNANSWERED),
+        (404, '', CommandResult.UNANSWERED),
+        (408, '', CommandResult.UNANSWERED),
+        (500, '', CommandResult.UNANSWERED),
+        (502, None, CommandResult.UNANSWERED),
+        (504, '', CommandResult.UNANSWERED),
     ],
 )
 @pytest.mark.parametrize('command', ['start', 'stop'])
@@ -82,7 +102,8 @@
     target_and_client, command, status, reason, result
 ):
     target, client = target_and_client
-    target.responses[f'run-{command}'] = (status, {'clockMs': 9, 'reason': reason})
+    body = b'not JSON' if reason is None else {'clockMs': 9, 'reason': reason}
+    target.responses[f'run-{command}'] = (status, body)
     if command == 'start':
         response = await client.start_run(TASK, 1, '', FencedLease(7, 1))
     else:
@@ -90,6 +111,27 @@
     assert response.result is result
 
 
+@pytest.mark.parametrize(
+    ('status', 'body', 'logged'),
+    [
+        (500, {'clockMs': 9}, True),
+        (409, {'clockMs': 9, 'reason': 'strange'}, True),
+        (409, {'clockMs': 9, 'reason': 'room'}, False),
+        (503, {'clockMs': 9}, False),
+    ],
+)
+async def test_response_of_unknown_meaning_is_logged(status, body, logged):
+    target = ScriptedTarget()
+    target.responses['run-start'] = (status, body)
+    events = create_events()
+    async with serve(target.create_application()) as address:
+        report = TargetReport('i-1', 'pool', address, Resources(1, 1), False, 0, 0)
+        client = HttpTargetClientFactory(events).create_client(report)
+        await client.start_run(TASK, 1, '', FencedLease(7, 1))
+        await client.close()
+    assert events.event_counts[Event.RESPONSE_NOT_UNDERSTOOD.value] == logged
+
+
 async def test_poll_returns_active_and_ended_runs(target_and_client):
     target, client = target_and_client
     target.responses['hold'] = (
@@ -137,7 +179,7 @@
 
 async def test_unreachable_target_gives_no_response():
     report = TargetReport('i-1', 'p', '127.0.0.1:1', Resources(1, 1), False, 0, 0)
-    client = HttpTargetClientFactory().create_client(report)
+    client = HttpTargetClientFactory(create_events()).create_client(report)
     response = await client.start_run(TASK, 1, '', FencedLease(1, 1))
     assert response.result is CommandResult.UNANSWERED
     with pytest.raises(PollFailed):
