Let a delayed report of a former instance end no session

What callers would see: tasks run twice at once, and a machine is out of use until its target or its agent starts anew. Not seen in the users' record.

Cause: a report with another identifier counted as proof that the instance in use had ended. Its runs were reported as lost, so the entry ran them elsewhere at once, and its later reports were ignored for good. A heartbeat that a partition delayed may arrive after its sender crashed and a new incarnation registered; the agent recognises it only if it has itself seen the former instance end, so not after a restart of the agent.

Change: while a session is open, another instance is polled first, with a token that fences nothing. If it answers, the former one has ended, as a machine has one instance at a time. If another one answers in its place (421), it has ended itself. Without an answer nothing changes, and its next report is checked again.

--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import Final
 from typing import Self
 
@@ -19,6 +20,8 @@
 from endivetally_held.entry_server import EntryListener
 from endivetally_held.entry_server import EntryPeer
 from endivetally_held.entry_server import EntryServer
+from endivetally_held.instance_checks import InstanceChecks
+from endivetally_held.instance_checks import InstanceState
 from endivetally_held.jobs import TaskKey
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
@@ -70,6 +73,7 @@
         self._session: TargetSession | None = None
         self._ended_targets: deque[str] = deque(maxlen=REMEMBERED_TARGETS)
         self._closing_tasks: set[asyncio.Task[None]] = set()
+        self._checks = InstanceChecks(client_factory)
         self._backlog = Backlog()
         self._draining = False
         self._state_reporter = StateReporter(
@@ -93,6 +97,7 @@
         self._stack.callback(self.entry_server.close)
         ticker = asyncio.ensure_future(self._run_periodic_work())
         self._stack.callback(ticker.cancel)
+        self._stack.callback(self._checks.cancel)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -100,13 +105,20 @@
         await self._stack.aclose()
 
     def apply_report(self, report: TargetReport) -> bool:
-        """Apply a report of the target; return ``False`` if it is outdated."""
+        """Apply a report of the target; return ``False`` if it is outdated.
+
+        A report of another instance than the session's may be a delayed one of an
+        instance that has ended. It counts once that instance has answered a poll.
+        """
         session = self._session
-        if session is None or session.report.target_id != report.target_id:
-            if report.target_id in self._ended_targets:
-                return False
+        if report.target_id in self._ended_targets:
+            return False
+        if session is None:
             self._open_session(report)
             return True
+        if session.report.target_id != report.target_id:
+            self._checks.start(report, partial(self._replace_instance, session, report))
+            return True
         if report.sequence <= session.report.sequence:
             return False
         starts_draining = report.draining and not session.report.draining
@@ -190,6 +202,27 @@
         # Leaves time to send the last reports before the connections are closed.
         await asyncio.sleep(DRAIN_POLL_S)
 
+    def _replace_instance(
+        self, former: TargetSession, report: TargetReport, state: InstanceState
+    ) -> None:
+        """Open a session with another instance if that one is present.
+
+        A machine has one instance at a time, so the former one has ended then.
+        """
+        # A session that was opened meanwhile may be with a newer instance.
+        if self._session not in {None, former}:
+            return
+        if state is InstanceState.PRESENT:
+            self._open_session(report)
+            return
+        if state is InstanceState.ENDED:
+            self._ended_targets.append(report.target_id)
+        self._events.emit(
+            Event.REPORT_IGNORED,
+            target=report.target_id,
+            reason=f'other instance than in use: {state.name.lower()}',
+        )
+
     def _open_session(self, report: TargetReport) -> None:
         self._drop_session(target_ended=True)
         self._events.emit(
--- /dev/null
+++ b/libs/endivetally-held/src/endivetally_held/instance_checks.py
@@ -0,0 +1,71 @@
+"""Whether instances of a target are still there, as told by an answer to a poll."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import Final
+
+from endivetally_held.session import POLL_RESPONSE_S
+from endivetally_held.target_client import FencedLease
+from endivetally_held.target_client import PollFailed
+from endivetally_held.target_client import TargetClient
+from endivetally_held.target_client import TargetClientFactory
+from endivetally_held.target_client import TargetReport
+from endivetally_held.target_client import TargetSessionLost
+
+# Lower than any token of a session, so that the poll fences no command.
+NO_TOKEN: Final = FencedLease(0)
+
+
+class InstanceState(enum.Enum):
+    """What is known of an instance of a target."""
+
+    PRESENT = enum.auto()
+    ENDED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+class InstanceChecks:
+    """Polls instances without a session, once each, without an effect on their runs."""
+
+    def __init__(self, client_factory: TargetClientFactory) -> None:
+        self._client_factory = client_factory
+        # The checks under way, by identifier of the instance.
+        self._checks: dict[str, asyncio.Task[None]] = {}
+
+    def start(
+        self, report: TargetReport, handle_result: Callable[[InstanceState], None]
+    ) -> None:
+        """Check the instance that sent a report, unless a check of it is under way."""
+        target_id = report.target_id
+        if target_id in self._checks:
+            return
+        client = self._client_factory.create_client(report)
+        check = asyncio.create_task(_check(client, handle_result))
+        self._checks[target_id] = check
+        check.add_done_callback(lambda _: self._checks.pop(target_id, None))
+
+    def cancel(self) -> None:
+        """Cancel the checks under way."""
+        for check in self._checks.values():
+            check.cancel()
+
+
+async def _check(
+    client: TargetClient, handle_result: Callable[[InstanceState], None]
+) -> None:
+    try:
+        handle_result(await _find_state(client))
+    finally:
+        await client.close()
+
+
+async def _find_state(client: TargetClient) -> InstanceState:
+    try:
+        await client.poll(NO_TOKEN, 0, 0, POLL_RESPONSE_S)
+    except PollFailed:
+        return InstanceState.UNKNOWN
+    except TargetSessionLost as error:
+        # An instance that has seen a higher token refuses the poll, so it is there.
+        return InstanceState.ENDED if error.target_ended else InstanceState.PRESENT
+    return InstanceState.PRESENT
