--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -71,6 +71,7 @@
     STOP_ACCEPTED = 'stop_accepted'
     RENEWAL_PAUSED = 'renewal_paused'
     COMMAND_UNANSWERED = 'order_unanswered'
+    RESPONSE_NOT_UNDERSTOOD = 'response_not_understood'
     LINES_DROPPED = 'lines_dropped'
     LIBRARY_WARNING = 'library_warning'
     UNEXPECTED_ERROR = 'unexpected_error'
