Keep the newest run of a task active when an earlier run's end arrives late

Callers would see: a task that no entry follows any more. If its agent is lost then, the task isn't run elsewhere and the job gets a 504 at its deadline; the link to an agent without other tasks may be closed while the run is under way.

Cause: an entry forgot that a task is active at an agent when the end of any run of the task arrived, also of an earlier one, sent over a former link of the same entry or for a former copy of the job.

Change: active tasks are kept with the number of their newest run, and only the end of that run removes them.

--- a/libs/endivetally-held/src/endivetally_held/agent_connections.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_connections.py
@@ -48,6 +48,9 @@
 
     The load combines the state that the agent sent last with the tasks that were sent
     to it and that this state does not include yet.
+
+    :ivar active_tasks: numbers of the newest runs that were requested and whose end
+        the agent has not reported, by task.
     """
 
     def __init__(self, hello: AgentHello, channel: Channel, address: Address) -> None:
@@ -56,7 +59,7 @@
         self.channel = channel
         self.pool = ''
         self.entry_count = 1
-        self.active_tasks: set[TaskKey] = set()
+        self.active_tasks: dict[TaskKey, int] = {}
         self.load = AgentLoad(
             hello.agent, hello.data_centre, NO_RESOURCES, NO_RESOURCES, 0, 1.0, False
         )
@@ -108,7 +111,7 @@
         """
         self._sequence += 1
         self._in_flight.append((self._sequence, len(runs), need))
-        self.active_tasks.update(run.task for run in runs)
+        self.active_tasks.update((run.task, run.run_number) for run in runs)
         self.channel.post(
             StartRuns(
                 self._sequence,
@@ -121,6 +124,11 @@
             )
         )
 
+    def record_end(self, ended: RunEnded) -> None:
+        """Record the end of a run, which may be older than the newest of its task."""
+        if self.active_tasks.get(ended.task) == ended.run_number:
+            del self.active_tasks[ended.task]
+
     def stop_runs(self, tasks: list[TaskKey]) -> None:
         """Request the end of the runs of these tasks."""
         self.channel.post(StopRuns(tasks))
@@ -282,7 +290,7 @@
             if isinstance(message, TargetState):
                 self._handle_state(peer, message)
             elif isinstance(message, RunEnded):
-                peer.active_tasks.discard(message.task)
+                peer.record_end(message)
                 self._listener.run_ended(peer, message)
 
     def remove_peer(self, peer: AgentPeer, reason: str) -> None:
