Run the tasks of a resent job only once runs of its former copy have ended

Callers would see: a task of a job that is submitted again to the same entry runs beside its former run, which is still being stopped or is at a lost agent.

Cause: an entry forgot a job that it gave up or whose caller disconnected as soon as the stops were posted, and with it the wait for runs at lost agents. That stops were sent was taken as proof that the runs had ended. Run numbers rise, but other targets don't compare them; only the caller's delay of 1.3 s stood between two runs.

Change: the entry remembers the runs of closed jobs until their agent reports the end, or until the rerun wait after the loss of the agent, and sends their tasks only then. Entries still know nothing of each other's runs.

--- a/libs/endivetally-held/src/endivetally_held/dispatcher.py
+++ b/libs/endivetally-held/src/endivetally_held/dispatcher.py
@@ -12,6 +12,7 @@
 
 from endivetally_held.agent_connections import AgentConnections
 from endivetally_held.agent_connections import AgentPeer
+from endivetally_held.ending_runs import EndingRuns
 from endivetally_held.messages import RunRequest
 from endivetally_held.open_job import HeldTask
 from endivetally_held.open_job import OpenJob
@@ -36,17 +37,20 @@
     """Assigns waiting tasks to agents with free capacity.
 
     :param open_jobs: open jobs by their identifiers; the owner changes the mapping.
+    :param ending_runs: runs of closed jobs, beside which their tasks must not run.
     """
 
     def __init__(
         self,
         open_jobs: Mapping[str, OpenJob],
+        ending_runs: EndingRuns,
         connections: AgentConnections,
         data_centre: str,
         events: EventLog,
         clock: Callable[[], float],
     ) -> None:
         self._open_jobs = open_jobs
+        self._ending_runs = ending_runs
         self._connections = connections
         self._data_centre = data_centre
         self._events = events
@@ -78,7 +82,7 @@
         waiting = [each for each in self._open_jobs.values() if each.waiting_count]
         waiting.sort(key=lambda open_job: queue_key(open_job.waiting_job, now))
         for open_job in waiting:
-            ready = open_job.find_ready_tasks(now)
+            ready = self._find_ready_tasks(open_job, now)
             if ready and now < open_job.deadline_at:
                 pool = open_job.service.target_pool
                 if pool not in candidates_by_pool:
@@ -87,6 +91,12 @@
                     )
                 self._dispatch_job(open_job, ready, candidates_by_pool[pool])
 
+    def _find_ready_tasks(self, open_job: OpenJob, now: float) -> list[HeldTask]:
+        ready = open_job.find_ready_tasks(now)
+        if not self._ending_runs:
+            return ready
+        return [task for task in ready if task.key not in self._ending_runs]
+
     def _dispatch_job(
         self, open_job: OpenJob, ready: list[HeldTask], candidates: '_PoolCandidates'
     ) -> None:
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -31,6 +31,7 @@
 from endivetally_held.channel import HEARTBEAT_CHECK_S
 from endivetally_held.channel import PEER_TIMEOUT_S
 from endivetally_held.dispatcher import TaskDispatcher
+from endivetally_held.ending_runs import EndingRuns
 from endivetally_held.jobs import HeldJob
 from endivetally_held.jobs import JobResponse
 from endivetally_held.jobs import JobResult
@@ -91,8 +92,14 @@
         self._pause_detector = PauseDetector(clock=clock)
         self._run_time_predictor = RunTimePredictor()
         self._open_jobs: dict[str, OpenJob] = {}
+        self._ending_runs = EndingRuns(clock)
         self._dispatcher = TaskDispatcher(
-            self._open_jobs, self.connections, data_centre, events, clock
+            self._open_jobs,
+            self._ending_runs,
+            self.connections,
+            data_centre,
+            events,
+            clock,
         )
         self._next_run_numbers: dict[str, int] = {}
         self._drain_until: float | None = None
@@ -184,7 +191,8 @@
         self._dispatcher.schedule_dispatch()
 
     def run_ended(self, peer: AgentPeer, ended: RunEnded) -> None:
-        """Handle the end of a run; ends of earlier runs of the task are ignored."""
+        """Handle the end of the newest run of a task, or of a run of a closed job."""
+        self._ending_runs.record_end(ended.task, ended.run_number)
         open_job = self._open_jobs.get(ended.task.job)
         task = open_job.tasks.get(ended.task) if open_job else None
         if open_job is None or task is None:
@@ -204,6 +212,7 @@
                 continue
             if task.state is TaskState.SENT:
                 self._handle_run_end(open_job, task, RunEnd.UNREACHABLE, 0)
+        self._ending_runs.record_lost_agent(peer.name, self._clock() + RERUN_WAIT_S)
 
     def begin_drain(self, timeout_s: float) -> None:
         """Continue to serve, but admit only jobs that can end before the process does.
@@ -255,6 +264,7 @@
         self._next_run_numbers[open_job.job.identifier] = highest + 1
         if len(self._next_run_numbers) > REMEMBERED_JOBS:
             self._next_run_numbers.pop(next(iter(self._next_run_numbers)))
+        self._ending_runs.add_runs_of(open_job)
 
     def _handle_run_end(
         self, open_job: OpenJob, task: HeldTask, end: RunEnd, run_s: float
@@ -361,6 +371,7 @@
             if now - last_heartbeat_at >= HEARTBEAT_CHECK_S:
                 last_heartbeat_at = now
                 self.connections.send_heartbeats()
+                self._ending_runs.remove_expired()
             self._dispatcher.schedule_dispatch()
 
     def _report_readiness(self) -> None:
