Tell callers that the state of a key without a record is unknown

Callers would see: a cancellation answered with 404 unknown_job and "ran": "not_run" for a job whose tasks run, for instance after a takeover, when the new owner has no record of the key and its former owner journalled it; or while the submission is still on its way from another entry. Callers are told that only after not_run a submission under another key does not run the work twice.

Cause: the absence of a key in the memory of its present owner was taken as proof that nothing runs under it, as not_run was the default of this kind of error.

Change: unknown_job says unknown.

--- a/libs/endivetally-core/src/endivetally_core/errors.py
+++ b/libs/endivetally-core/src/endivetally_core/errors.py
@@ -71,7 +71,7 @@
         ErrorKind.KEY_CONFLICT: ErrorResponse(409),
         ErrorKind.UNAUTHORISED: ErrorResponse(401),
         ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404),
-        ErrorKind.UNKNOWN_JOB: ErrorResponse(404),
+        ErrorKind.UNKNOWN_JOB: ErrorResponse(404, ExecutionState.UNKNOWN),
         ErrorKind.INVALID_JOB_SIZE: ErrorResponse(422),
         ErrorKind.CANNOT_RUN: ErrorResponse(422),
         ErrorKind.DEADLINE_PASSED: ErrorResponse(422),
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -185,7 +185,7 @@
         other = {'Authorization': 'Bearer token-b', **KEY}
         assert (await running_entry.call(SWEEPS, b'{"tasks":[7]}', **KEY))[0] == 200
         unknown = await running_entry.call(f'{SWEEPS}/k', method='DELETE', **other)
-        assert unknown[:2] == (404, 'unknown_job')
+        assert unknown == (404, 'unknown_job', 'unknown')
         assert (await running_entry.call(SWEEPS, b'{"tasks":[8]}', **other))[0] == 200
         assert running_entry.link.payloads == [b'7', b'8']
 
--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -7,6 +7,7 @@
 
 import pytest
 from endivetally_core.errors import ErrorKind
+from endivetally_core.errors import ExecutionState
 from endivetally_core.errors import RequestError
 from endivetally_entry.acknowledgements import AcknowledgementBatcher
 from endivetally_entry.idempotency import IdempotencyCache
@@ -75,3 +76,11 @@
         assert response.error_kind is ErrorKind.CANCELLED
         assert json.loads(response.body)['error']['ran'] == 'not_run'
         assert setup.dispatcher.in_progress_count == 0
+
+    async def test_a_key_that_may_run_elsewhere_is_not_told_not_run(self):
+        # No record here is no proof: a former owner may run it, or it is under way.
+        runner = _create_runner(DispatcherSetup(), ControlledJournal())
+        with pytest.raises(RequestError) as caught:
+            runner.cancel_request(request())
+        assert caught.value.kind is ErrorKind.UNKNOWN_JOB
+        assert caught.value.execution_state is ExecutionState.UNKNOWN
