Keep accepting tasks at a target whose lease is not renewed for a moment

A job that was sent again while the targets' stops were overdue was refused at once, though room was free half a second later.

Cause: a target with an overdue stop counted as one that accepts no tasks, so an entry that saw only such targets refused with no_target, and a backlog there was sent back.

Tried: to report no free room meanwhile; the same case was then refused as overloaded, as the pause is short and the expected wait counts as long as the tasks' run time.

Change: only starts wait; the state that entries see does not change. Waiting runs are started when the pause ends.

Result: that case, the cases of unanswered stops, tests/held/test_entry.py and test_resent_jobs.py pass.

--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -122,9 +122,7 @@
 
     def may_start(self) -> bool:
         """Return whether another run may start now, if the capacity allows it."""
-        if not self.accepting or self._find_overdue_stop():
-            return False
-        return self.health.may_start(len(self._runs), self._clock())
+        return self.accepting and self.health.may_start(len(self._runs), self._clock())
 
     def has_run(self, task: TaskKey) -> bool:
         """Return whether a run of a task was started here and has not ended."""
@@ -146,7 +144,9 @@
 
         Returns whether the start command is sent.
         """
-        if not self.may_start() or not self.reservations.reserve(run.task, run.need):
+        # A start would renew the lease of the runs whose stop is overdue.
+        may_start = self.may_start() and self._find_overdue_stop() is None
+        if not may_start or not self.reservations.reserve(run.task, run.need):
             return False
         run.state = RunState.STARTING
         run.start_sent_at = self._clock()
@@ -294,7 +294,9 @@
                 running=len(self._runs),
                 **describe_command(overdue, self._clock() - overdue.start_sent_at),
             )
-        self._renewal_paused = overdue is not None
+        if self._renewal_paused is not (overdue is not None):
+            self._renewal_paused = overdue is not None
+            self._listener.capacity_changed()
 
     async def _handle_failed_poll(self, reason: str) -> None:
         self._failed_polls += 1
