Send a task only to the agent that still has an earlier run of it

Callers would see: a task of a job that is submitted again to another entry runs beside its former run, although an agent has refused it because that run is there.

The refusal was taken to say only that nothing ran, not that something still runs.

Change: such a task is sent to the same agent alone, which accepts it once the earlier run has ended there. If the agent is lost, the task runs elsewhere after the rerun wait. The table of next actions is checked more strictly: this refusal alone has the new action, all others one of the two that were allowed before.

--- a/libs/endivetally-held/src/endivetally_held/dispatcher.py
+++ b/libs/endivetally-held/src/endivetally_held/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 
 from endivetally_core.events import Event
@@ -32,6 +33,31 @@
         # pass. Tasks that need as much or more are not tried.
         self.unplaceable_cpu = math.inf
 
+    def place_tasks(
+        self, tasks: list[HeldTask], data_centre: str
+    ) -> Iterator[tuple[AgentPeer, HeldTask]]:
+        """Reserve resources for tasks until one can't be placed; yield the placed ones.
+
+        Tasks that must wait for a certain agent don't hold up the others.
+        """
+        for task in tasks:
+            if task.step.need.cpu >= self.unplaceable_cpu:
+                return
+            peer = self._choose(task, data_centre)
+            if peer is not None:
+                peer.reserve(task.step.need)
+                yield peer, task
+            elif not task.required_agent:
+                self.unplaceable_cpu = task.step.need.cpu
+                return
+
+    def _choose(self, task: HeldTask, data_centre: str) -> AgentPeer | None:
+        loads = self.loads
+        if task.required_agent:
+            loads = [load for load in loads if load.name == task.required_agent]
+        chosen = choose_agent(loads, task.step.need, data_centre, task.avoided_agents)
+        return None if chosen is None else self.peers[chosen.name]
+
 
 class TaskDispatcher:
     """Assigns waiting tasks to agents with free capacity.
@@ -101,18 +127,8 @@
         self, open_job: OpenJob, ready: list[HeldTask], candidates: '_PoolCandidates'
     ) -> None:
         batches: dict[tuple[str, int], list[HeldTask]] = {}
-        for task in ready:
-            need = task.step.need
-            if need.cpu >= candidates.unplaceable_cpu:
-                break
-            chosen = choose_agent(
-                candidates.loads, need, self._data_centre, task.avoided_agents
-            )
-            if chosen is None:
-                candidates.unplaceable_cpu = need.cpu
-                break
-            candidates.peers[chosen.name].reserve(need)
-            batches.setdefault((chosen.name, task.key.step), []).append(task)
+        for peer, placed in candidates.place_tasks(ready, self._data_centre):
+            batches.setdefault((peer.name, placed.key.step), []).append(placed)
         for batch, tasks in batches.items():
             self._send_tasks(open_job, candidates.peers[batch[0]], tasks)
 
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -212,7 +212,10 @@
                 continue
             if task.state is TaskState.SENT:
                 self._handle_run_end(open_job, task, RunEnd.UNREACHABLE, 0)
-        self._ending_runs.record_lost_agent(peer.name, self._clock() + RERUN_WAIT_S)
+        runs_end_by = self._clock() + RERUN_WAIT_S
+        self._ending_runs.record_lost_agent(peer.name, runs_end_by)
+        for each in self._open_jobs.values():
+            each.record_lost_agent(peer.name, runs_end_by)
 
     def begin_drain(self, timeout_s: float) -> None:
         """Continue to serve, but admit only jobs that can end before the process does.
@@ -308,6 +311,10 @@
             task.not_before = now + RERUN_WAIT_S
         elif action is NextAction.RETRY_SOON:
             task.not_before = now + REFUSAL_RETRY_S
+        elif action is NextAction.RETRY_THERE:
+            task.not_before = now + REFUSAL_RETRY_S
+            task.required_agent = task.agent
+            return
         if action is not NextAction.RETRY_SOON:
             task.avoided_agents.add(task.agent)
 
--- a/libs/endivetally-held/src/endivetally_held/open_job.py
+++ b/libs/endivetally-held/src/endivetally_held/open_job.py
@@ -33,6 +33,8 @@
     :param not_before: monotonic time in seconds before which the task is not sent.
     :param agent: agent that the newest run was sent to.
     :param avoided_agents: agents where the task failed or that refused it.
+    :param required_agent: agent where an earlier run of the task has not ended, so that
+        it must not run elsewhere; empty if there is none.
     """
 
     key: TaskKey
@@ -43,6 +45,7 @@
     not_before: float = 0
     agent: str = ''
     avoided_agents: set[str] = field(default_factory=set)
+    required_agent: str = ''
 
 
 class OpenJob:
@@ -141,6 +144,7 @@
         """Record that a run of a task was sent to an agent."""
         task.state = TaskState.SENT
         task.agent = agent
+        task.required_agent = ''
         self.possible_run_count += 1
         self._waiting_counts[task.key.step] -= 1
         self.waiting_count -= 1
@@ -153,6 +157,16 @@
         self.waiting_count += 1
         self._running_cpu -= task.step.need.cpu
 
+    def record_lost_agent(self, agent: str, runs_end_by: float) -> None:
+        """Let the tasks that must wait for an agent's runs run elsewhere later.
+
+        :param runs_end_by: time by which the runs at the lost agent have ended.
+        """
+        for task in self.tasks.values():
+            if task.required_agent == agent:
+                task.required_agent = ''
+                task.not_before = runs_end_by
+
     def record_done(self, task: HeldTask) -> None:
         """Record that a task is done."""
         task.state = TaskState.DONE
--- a/libs/endivetally-policy/src/endivetally_policy/held/run_ends.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/run_ends.py
@@ -44,14 +44,16 @@
     ``COUNT_FAILURE`` counts against the service's limit of failed runs and
     retries the task on another target below that limit. ``RETRY_ELSEWHERE``
     avoids the same target. ``RETRY_SOON`` may use the same target after a short
-    delay. ``RETRY_AFTER_WAIT`` waits until the former run must have ended, then
-    retries on another target.
+    delay. ``RETRY_THERE`` uses only the same target, which refuses the task until an
+    earlier run of it has ended there. ``RETRY_AFTER_WAIT`` waits until the former run
+    must have ended, then retries on another target.
     """
 
     FINISH = enum.auto()
     COUNT_FAILURE = enum.auto()
     RETRY_ELSEWHERE = enum.auto()
     RETRY_SOON = enum.auto()
+    RETRY_THERE = enum.auto()
     RETRY_AFTER_WAIT = enum.auto()
 
 
@@ -65,7 +67,7 @@
         RunEnd.STALLED: NextAction.RETRY_ELSEWHERE,
         RunEnd.REFUSED_NO_CAPACITY: NextAction.RETRY_SOON,
         RunEnd.REFUSED_NOT_ACCEPTING: NextAction.RETRY_ELSEWHERE,
-        RunEnd.REFUSED_DUPLICATE: NextAction.RETRY_SOON,
+        RunEnd.REFUSED_DUPLICATE: NextAction.RETRY_THERE,
         RunEnd.REFUSED_STALE_RUN: NextAction.RETRY_SOON,
         RunEnd.REFUSED_TARGET: NextAction.RETRY_ELSEWHERE,
         RunEnd.REFUSED_COMMAND: NextAction.RETRY_ELSEWHERE,
--- a/tests/held/test_resent_jobs.py
+++ b/tests/held/test_resent_jobs.py
@@ -4,6 +4,8 @@
 
 import pytest
 from differential.clock import run_virtually
+from endivetally_core.joining import Address
+from endivetally_held.entry import RERUN_WAIT_S
 from endivetally_held.jobs import JobResult
 from held.cluster import Cluster
 from held.cluster import job
@@ -30,7 +32,7 @@
 
 
 def long_job(count=8):
-    return job('a', count=count, timeout_s=8, estimate_s=2)
+    return job('a', count=count, timeout_s=8, estimate_s=4)
 
 
 async def submit_and_abandon(cluster, after_s, count=8):
@@ -80,3 +82,40 @@
         assert response.result is JobResult.COMPLETED
 
     run_scenario(scenario)
+
+
+def test_refused_duplicate_does_not_run_beside_the_run_that_was_present():
+    """Another agent becomes available while the former run is being stopped."""
+
+    async def scenario(cluster):
+        await submit_and_abandon(cluster, 0.3, count=1)
+        resent = asyncio.ensure_future(cluster.submit('entry-1', long_job(count=1)))
+        await asyncio.sleep(0.1)
+        await cluster.create_target('agent-1')
+        cluster.start_agent('agent-1')
+        cluster.entries['entry-1'].connections.set_agents(
+            {Address('agent-0', 1), Address('agent-1', 1)}
+        )
+        assert (await resent).result is JobResult.COMPLETED
+
+    run_scenario(scenario, agents=1)
+
+
+@pytest.mark.parametrize('lost_after_s', [0.09, 0.1, 0.11, 0.12])
+def test_refused_duplicate_runs_elsewhere_only_long_after_its_agent_is_lost(
+    lost_after_s,
+):
+    async def scenario(cluster):
+        await submit_and_abandon(cluster, 0.3, count=1)
+        resent = asyncio.ensure_future(cluster.submit('entry-1', long_job(count=1)))
+        await asyncio.sleep(lost_after_s)
+        cluster.nodes['agent-0'].kill()
+        lost_at = cluster.loop.time()
+        await cluster.create_target('agent-1')
+        cluster.start_agent('agent-1')
+        cluster.entries['entry-1'].connections.set_agents({Address('agent-1', 1)})
+        assert (await resent).result is JobResult.COMPLETED
+        newest = cluster.run_history.runs[-1]
+        assert RERUN_WAIT_S < newest.started_at - lost_at < RERUN_WAIT_S + 0.1
+
+    run_scenario(scenario, agents=1)
--- a/tests/policy/held/test_decisions.py
+++ b/tests/policy/held/test_decisions.py
@@ -51,7 +51,11 @@
 
     @pytest.mark.parametrize('end', sorted(NEVER_RAN))
     def test_refusals_do_not_count_as_failures(self, end):
-        assert next_action(end) in {NextAction.RETRY_SOON, NextAction.RETRY_ELSEWHERE}
+        if end is RunEnd.REFUSED_DUPLICATE:
+            assert next_action(end) is NextAction.RETRY_THERE
+        else:
+            retries = {NextAction.RETRY_SOON, NextAction.RETRY_ELSEWHERE}
+            assert next_action(end) in retries
 
     @pytest.mark.parametrize(
         'end', [RunEnd.UNREACHABLE, RunEnd.LOST, RunEnd.LEASE_EXPIRED, RunEnd.STALLED]
