Handle no message of an entry that was sent more than 0.9 s ago

Callers would see: a task runs twice at once when the link from an entry to an agent lags behind: its start is carried out seconds after the entry has lost the link and run the task elsewhere, or after the job was resent to another entry; or its stop arrives seconds late.

Cause: an agent counted an entry as present as long as anything arrived, and measured silence from arrivals. On a link whose queue grows, or that keeps delivering after the entry has closed it, messages arrive in short intervals and yet arbitrarily late. That something arrives was taken as proof that it is recent.

Change: the header of each batch has the sender's clock and the newest clock that it has received from its peer. So an agent knows by its own clock alone how old a batch is at most, and closes the link when nothing has arrived that was sent within 0.9 s. Of these, up to 0.5 s are the two intervals of heartbeats. Frames have 16 bytes more; entries and agents of different versions don't understand each other.

--- a/libs/endivetally-held/src/endivetally_held/channel.py
+++ b/libs/endivetally-held/src/endivetally_held/channel.py
@@ -29,11 +29,17 @@
 # A peer that sends nothing for this time counts as lost. What it sends later on the
 # same connection is never processed.
 PEER_TIMEOUT_S: Final = 0.6
+# An entry also counts as lost at its agent when nothing has arrived that it has sent
+# within this time, though older messages may still arrive. Without a delay, the newest
+# message that has arrived was sent at most 0.5 s ago: each side sends one every 0.25 s.
+MESSAGE_AGE_LIMIT_S: Final = 0.9
 # A heartbeat is sent on a channel on which nothing was sent for the longer time, which
 # is checked at the shorter interval. A peer hears something every 0.25 s at least.
 HEARTBEAT_AFTER_S: Final = 0.15
 HEARTBEAT_CHECK_S: Final = 0.1
-_LENGTH: Final = struct.Struct('>I')
+# Length of the batch, the sender's clock in milliseconds when it sent the batch, and
+# the newest such time that it had received from its peer; 0 before the first.
+_HEADER: Final = struct.Struct('>IQQ')
 
 
 class ChannelHandler(ABC):
@@ -57,12 +63,28 @@
 
 
 class Channel(asyncio.Protocol):
-    """Ordered channel; messages posted in one event loop iteration share a batch."""
+    """Ordered channel; messages posted in one event loop iteration share a batch.
+
+    Each batch returns the newest time that its sender has received from the peer. The
+    peer knows by its own clock that the batch was sent after that time, so that it
+    can tell how long the batch was under way at most.
+
+    :param rejects_late: whether the peer counts as lost when nothing has arrived that
+        it has sent within the age limit.
+    """
 
     def __init__(
-        self, handler: ChannelHandler, clock: Callable[[], float] = monotonic_now
+        self,
+        handler: ChannelHandler,
+        clock: Callable[[], float] = monotonic_now,
+        *,
+        rejects_late: bool = False,
     ) -> None:
         self.last_received_at = clock()
+        # The newest received batch was sent after this time of the own clock.
+        self._peer_sent_after = self.last_received_at
+        self._rejects_late = rejects_late
+        self._newest_peer_ms = 0
         self._last_sent_at = self.last_received_at
         self._handler = handler
         self._clock = clock
@@ -77,8 +99,12 @@
 
     @property
     def timed_out(self) -> bool:
-        """Whether nothing was received for longer than the peer timeout."""
-        return self._clock() - self.last_received_at > PEER_TIMEOUT_S
+        """Whether nothing, or nothing recent, was received for the peer timeout."""
+        now = self._clock()
+        message_age_s = now - self._peer_sent_after
+        if self._rejects_late and message_age_s > MESSAGE_AGE_LIMIT_S:
+            return True
+        return now - self.last_received_at > PEER_TIMEOUT_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to use an open connection."""
@@ -115,7 +141,7 @@
         """Send a heartbeat unless something was sent recently."""
         silent_s = self._clock() - self._last_sent_at
         if silent_s >= HEARTBEAT_AFTER_S and not self._outbox:
-            self._write(_HEARTBEAT_FRAME)
+            self._write(_ENCODED_HEARTBEAT)
 
     def close(self, reason: str = 'closing') -> None:
         """Close the connection at once; queued messages are dropped."""
@@ -134,17 +160,20 @@
         :raises MalformedMessage: when a batch is too large or can't be decoded.
         """
         received = self._received
-        while self._transport is not None and len(received) >= _LENGTH.size:
-            end = _LENGTH.size + _LENGTH.unpack_from(received)[0]
+        while self._transport is not None and len(received) >= _HEADER.size:
+            length, sent_ms, echoed_ms = _HEADER.unpack_from(received)
+            end = _HEADER.size + length
             if end > MAX_BATCH_BYTES:
                 raise MalformedMessage(f'batch of {end} bytes is too large')
             if len(received) < end:
                 return
+            self._peer_sent_after = max(self._peer_sent_after, echoed_ms / 1000)
             # A batch delayed beyond the timeout comes from a peer that counts as lost.
             if self.timed_out:
                 raise LinkClosed('silent')
             self.last_received_at = self._clock()
-            encoded = bytes(received[_LENGTH.size : end])
+            self._newest_peer_ms = sent_ms
+            encoded = bytes(received[_HEADER.size : end])
             del received[:end]
             yield decode_batch(encoded)
 
@@ -152,22 +181,19 @@
         batch = self._outbox
         if batch:
             self._outbox = []
-            self._write(_encode_frame(batch))
+            self._write(encode_batch(batch))
 
-    def _write(self, frame: bytes) -> None:
+    def _write(self, encoded: bytes) -> None:
         transport = self._transport
         if transport is None:
             return
         self._last_sent_at = self._clock()
-        transport.write(frame)
+        sent_ms = int(self._last_sent_at * 1000)
+        header = _HEADER.pack(len(encoded), sent_ms, self._newest_peer_ms)
+        transport.write(header + encoded)
         if transport.get_write_buffer_size() > MAX_BATCH_BYTES:
             self.close('write buffer full')
 
 
-def _encode_frame(batch: list[AnyHeldMessage]) -> bytes:
-    encoded = encode_batch(batch)
-    return _LENGTH.pack(len(encoded)) + encoded
-
-
 # All heartbeats are the same, so they are encoded once.
-_HEARTBEAT_FRAME: Final = _encode_frame([Alive()])
+_ENCODED_HEARTBEAT: Final = encode_batch([Alive()])
--- a/libs/endivetally-held/src/endivetally_held/entry_server.py
+++ b/libs/endivetally-held/src/endivetally_held/entry_server.py
@@ -89,7 +89,7 @@
 
     def create_channel(self) -> Channel:
         """Return the channel of a new connection."""
-        return Channel(self, self._clock)
+        return Channel(self, self._clock, rejects_late=True)
 
     def find_entry(self, incarnation: str) -> EntryPeer | None:
         """Return the connected entry with this incarnation, if there is one."""
--- a/tests/held/cluster.py
+++ b/tests/held/cluster.py
@@ -40,19 +40,27 @@
 class Network:
     """Delivers data between named nodes, with latency and one-way partitions.
 
-    Data sent during a partition is delivered once the partition is healed.
+    Data sent during a partition is delivered once the partition is healed. Data sent
+    over a slowed link arrives later and later, as from a queue that grows.
     """
 
     def __init__(self):
         self.loop = asyncio.get_running_loop()
         self.partitions = set()
         self.delayed = []
+        self.slowed = {}
 
     def send(self, source, target, deliver):
         if (source, target) in self.partitions:
             self.delayed.append((source, target, deliver))
             return
-        self.loop.call_later(LATENCY_S, deliver, context=contextvars.Context())
+        since, factor = self.slowed.get((source, target), (0, 1))
+        lag_s = (self.loop.time() - since) * (factor - 1)
+        self.loop.call_later(LATENCY_S + lag_s, deliver, context=contextvars.Context())
+
+    def slow_down(self, source, target, factor):
+        """Stretch the times between arrivals by a factor, from now on."""
+        self.slowed[source, target] = (self.loop.time(), factor)
 
     def partition(self, source, target):
         self.partitions.add((source, target))
--- a/tests/held/test_channel.py
+++ b/tests/held/test_channel.py
@@ -8,6 +8,7 @@
 from endivetally_core.errors import LinkClosed
 from endivetally_held.channel import HEARTBEAT_AFTER_S
 from endivetally_held.channel import HEARTBEAT_CHECK_S
+from endivetally_held.channel import MESSAGE_AGE_LIMIT_S
 from endivetally_held.channel import PEER_TIMEOUT_S
 from endivetally_held.channel import Channel
 from endivetally_held.channel import ChannelHandler
@@ -20,9 +21,12 @@
 HELLO = EntryHello('entry-1.1', 'dc')
 
 
-def frame(*messages):
+HEADER = struct.Struct('>IQQ')
+
+
+def frame(*messages, sent_ms=0, echoed_ms=0):
     encoded = encode_batch(list(messages))
-    return struct.pack('>I', len(encoded)) + encoded
+    return HEADER.pack(len(encoded), sent_ms, echoed_ms) + encoded
 
 
 class Recorder(ChannelHandler):
@@ -64,11 +68,11 @@
         self.aborted = True
 
 
-def run_with_channel(scenario, error=None):
+def run_with_channel(scenario, error=None, *, rejects_late=False):
     async def run():
         loop = asyncio.get_running_loop()
         handler, transport = Recorder(error), Transport()
-        channel = Channel(handler, loop.time)
+        channel = Channel(handler, loop.time, rejects_late=rejects_late)
         channel.connection_made(transport)
         await scenario(channel, handler, transport)
 
@@ -90,9 +94,9 @@
 @pytest.mark.parametrize(
     ('data', 'reason'),
     [
-        (struct.pack('>I', MAX_BATCH_BYTES + 1), 'malformed'),
-        (struct.pack('>I', 2) + b'\xc1\xc1', 'malformed'),
-        (struct.pack('>I', 200_000) + b'\x91' * 200_000, 'malformed'),
+        (HEADER.pack(MAX_BATCH_BYTES + 1, 0, 0), 'malformed'),
+        (HEADER.pack(2, 0, 0) + b'\xc1\xc1', 'malformed'),
+        (HEADER.pack(200_000, 0, 0) + b'\x91' * 200_000, 'malformed'),
     ],
     ids=['too large', 'no msgpack', 'nested'],
 )
@@ -133,6 +137,39 @@
     run_with_channel(scenario)
 
 
+@pytest.mark.parametrize(
+    ('rejects_late', 'age_s', 'received'),
+    [
+        (True, MESSAGE_AGE_LIMIT_S - 0.01, True),
+        (True, MESSAGE_AGE_LIMIT_S + 0.01, False),
+        (False, MESSAGE_AGE_LIMIT_S + 0.01, True),
+    ],
+)
+def test_a_batch_beyond_the_age_limit_is_never_handled(rejects_late, age_s, received):
+    async def scenario(channel, handler, transport):
+        # The peer repeats the same time, so that its batches seem to get older.
+        for step in range(4):
+            echoed_ms = 250 if step else 0
+            channel.data_received(frame(Alive(), echoed_ms=echoed_ms))
+            await asyncio.sleep((0.25 + age_s) / 4)
+        channel.data_received(frame(HELLO, echoed_ms=250))
+        assert ([HELLO] in handler.batches) is received
+        assert channel.closed is not received
+
+    run_with_channel(scenario, rejects_late=rejects_late)
+
+
+def test_a_batch_returns_the_newest_time_of_the_peer():
+    async def scenario(channel, handler, transport):
+        await asyncio.sleep(0.1)
+        channel.data_received(frame(Alive(), sent_ms=70) + frame(Alive(), sent_ms=71))
+        channel.post(HELLO)
+        await asyncio.sleep(0)
+        assert transport.written == [frame(HELLO, sent_ms=100, echoed_ms=71)]
+
+    run_with_channel(scenario)
+
+
 def test_messages_of_one_iteration_share_a_batch():
     async def scenario(channel, handler, transport):
         channel.post(HELLO)
