--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -29,7 +29,7 @@
 from endivetally_held.agent_connections import AgentPeer
 from endivetally_held.agent_connections import Connect
 from endivetally_held.channel import HEARTBEAT_CHECK_S
-from endivetally_held.channel import PEER_TIMEOUT_S
+from endivetally_held.channel import MESSAGE_AGE_LIMIT_S
 from endivetally_held.dispatcher import TaskDispatcher
 from endivetally_held.ending_runs import EndingRuns
 from endivetally_held.jobs import HeldJob
@@ -44,11 +44,11 @@
 
 TICK_INTERVAL_S: Final = 0.025
 # Longest interval between the checks of an agent for silent entries.
-SILENCE_CHECK_S: Final = 0.1
-# After a connection ends, its agent stops the runs of this entry once it has received
-# nothing for the peer timeout. If the agent is paused, the lease of the runs expires
-# instead.
-RERUN_WAIT_S: Final = PEER_TIMEOUT_S + SILENCE_CHECK_S + LONGEST_STOP_S
+SILENCE_CHECK_S: Final = 0.05
+# After a connection ends, its agent may still handle messages that this entry has sent
+# before, up to the age limit, and stops the runs of this entry then. If the agent is
+# paused, the lease of the runs expires instead.
+RERUN_WAIT_S: Final = MESSAGE_AGE_LIMIT_S + SILENCE_CHECK_S + LONGEST_STOP_S
 # Delay before a refused task is sent again.
 REFUSAL_RETRY_S: Final = 0.02
 # Responses are sent this time before the caller's deadline.
@@ -213,7 +213,10 @@
                 continue
             if task.state is TaskState.SENT:
                 self._handle_run_end(open_job, task, RunEnd.UNREACHABLE, 0)
-        self._ending_runs.record_lost_agent(peer.name, self._clock() + RERUN_WAIT_S)
+        runs_end_by = self._clock() + RERUN_WAIT_S
+        self._ending_runs.record_lost_agent(peer.name, runs_end_by)
+        for each in self._open_jobs.values():
+            each.record_lost_agent(peer.name, runs_end_by)
 
     def begin_drain(self, timeout_s: float) -> None:
         """Continue to serve, but admit only jobs that can end before the process does.
@@ -309,6 +312,10 @@
             task.not_before = now + RERUN_WAIT_S
         elif action is NextAction.RETRY_SOON:
             task.not_before = now + REFUSAL_RETRY_S
+        elif action is NextAction.RETRY_THERE:
+            task.not_before = now + REFUSAL_RETRY_S
+            task.required_agent = task.agent
+            return
         if action is not NextAction.RETRY_SOON:
             task.avoided_agents.add(task.agent)
 
