Say unknown, not not_run, at an entry that hears no other entry

Callers would see: a job or non-idempotent request refused with "ran": "not_run" at an entry that is cut off from the table and from all other entries, while another entry has taken over the key and runs it for a resubmission.

Cause: a submission was refused as not run because nothing had started here. That other entries were silent was not taken into account: only a pause of the process itself made its ownership uncertain.

Change: while no other entry is heard (1.5 s with an open link, 0.5 s without one, so before they may suspect this one), and until a later read of the table shows its row as live, keyed requests that would be refused as not_run are refused as unknown. An entry that knows no other is not cut off.

In a fleet of two entries, refusals after the death of one say unknown until the other has taken it over and refreshed; how often is not measured.

--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -280,7 +280,6 @@
         )
 
     def _create_request_components(self) -> None:
-        self.liveness = LivenessMonitor(asyncio.get_running_loop().time)
         sequences = itertools.count(1)
         self.shard_directory = ShardDirectory(
             self.table,
@@ -303,6 +302,9 @@
             self.peer_protocol.handle_message,
         )
         self.exit_stack.callback(self.entry_links.close)
+        self.liveness = LivenessMonitor(
+            asyncio.get_running_loop().time, self.entry_links.is_cut_off
+        )
         self.forwarder = RequestForwarder(self.entry_links.find_link)
         self.entry_links.set_forwarder(self.forwarder)
         self.keyed_requests = KeyedRequestRunner(
--- a/libs/endivetally-entry/src/endivetally_entry/entry_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry_links.py
@@ -47,8 +47,11 @@
 # The agents are probed this long before a suspicion, to detect an isolation.
 SUSPICION_LEAD_S = 1
 # An entry without a frame for this long counts as lost when an entry determines
-# whether it has lost most others.
+# whether it has lost most others, or all of them.
 RECENT_FRAME_S = 1.5
+# The same for an entry without any link. It last heard of this one up to a heartbeat
+# earlier than this one of it, and may then suspect this one so much sooner.
+RECENT_LINK_S = 0.5
 
 
 @dataclass(slots=True)
@@ -182,6 +185,17 @@
         soon = _now() + SUSPICION_LEAD_S
         return any(_is_suspect(peer, soon) for peer in self._peers.values())
 
+    def is_cut_off(self) -> bool:
+        """Return whether none of the other entries has been heard recently.
+
+        They may have taken over this entry without its noticing. An entry that knows
+        no other is not cut off.
+        """
+        now = _now()
+        return bool(self._peers) and all(
+            _is_lost(peer, now) for peer in self._peers.values()
+        )
+
     def disconnect(self, peer: PeerEntry) -> None:
         """Close the links to a suspect and fail the requests forwarded to it."""
         self._close(peer)
@@ -359,5 +373,10 @@
     return silent_s > SILENCE_TIMEOUT_S
 
 
+def _is_lost(peer: PeerEntry, now: float) -> bool:
+    longest_s = RECENT_LINK_S if peer.link is None else RECENT_FRAME_S
+    return now - peer.last_received_at > longest_s
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/differential/cluster.py
+++ b/tests/differential/cluster.py
@@ -25,6 +25,7 @@
 from endivetally_config.operator_config import encode_config
 from endivetally_config.settings import EntrySettings
 from endivetally_core.errors import RequestError
+from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import Address
 from endivetally_core.joining import AgentIdentity
 from endivetally_core.joining import Announcement
@@ -64,23 +65,34 @@
 
 
 class SharedTable(Table):
-    """Access of one node to the table that all nodes share."""
+    """Access of one node to the table that all nodes share.
 
-    def __init__(self, table):
+    :param is_reachable: returns whether the node reaches the table.
+    """
+
+    def __init__(self, table, is_reachable):
         self._table = table
+        self._is_reachable = is_reachable
 
     async def read(self, key):
+        self._check_reachable()
         return await self._table.read(key)
 
     async def scan(self, prefix, *, after='', limit=None):
+        self._check_reachable()
         return await self._table.scan(prefix, after=after, limit=limit)
 
     async def commit(self, transaction):
+        self._check_reachable()
         await self._table.commit(transaction)
 
     def close(self):
         """Do nothing, as other nodes still use the table."""
 
+    def _check_reachable(self):
+        if not self._is_reachable():
+            raise TableUnavailable('no route to the table')
+
 
 class _ConnectedListener:
     """Listener whose only peer is already connected."""
@@ -119,7 +131,10 @@
 
     def _create_infrastructure(self):
         super()._create_infrastructure()
-        self.table = SharedTable(self._cluster.table)
+        self.table = SharedTable(
+            self._cluster.table,
+            lambda: self._incarnation not in self._cluster.cut_off_entries,
+        )
         self.transport = _InMemoryTransport(self.active_config, self.shaper)
 
     def _create_request_components(self):
@@ -334,6 +349,7 @@
         self.connections = []
         self.entries = {}
         self.agents = {}
+        self.cut_off_entries = set()
         self._checker = checker
         self._number = 0
         self._entry_nodes = []
@@ -374,12 +390,23 @@
         nodes = {
             entry.incarnation: entry for entry in self._entry_nodes if not entry.dead
         }
-        if not pair <= set(nodes):
+        if not pair <= set(nodes) or pair & self.cut_off_entries:
             return
         connection = self.open_connection(left.incarnation, right.incarnation)
         nodes[left.incarnation].serve(JoinRequest(entry=right), connection.left)
         nodes[right.incarnation].serve(JoinRequest(entry=left), connection.right)
 
+    def cut_off_entry(self, entry):
+        """Cut an entry off from the table and all other entries, not from agents.
+
+        Links to other entries stay open and silent, as in a network partition.
+        """
+        self.cut_off_entries.add(entry.incarnation)
+        others = {node.incarnation for node in self._entry_nodes} - {entry.incarnation}
+        for connection in self.open_connections:
+            if entry.incarnation in connection.names and others & set(connection.names):
+                connection.hold()
+
     def check_finished_task(self, task):
         if not task.cancelled() and task.exception() is not None:
             self._checker.record_crash(task.exception())
--- a/tests/entry/test_liveness.py
+++ b/tests/entry/test_liveness.py
@@ -25,13 +25,13 @@
     def test_liveness_is_unconfirmed_after_a_gap_between_ticks(
         self, clock, ticks, confirmed
     ):
-        monitor = LivenessMonitor(clock)
+        monitor = LivenessMonitor(clock, lambda: False)
         for clock.now in ticks:
             monitor.record_tick()
         assert monitor.liveness_confirmed is confirmed
 
     def test_a_pause_is_noticed_before_the_next_tick(self, clock):
-        monitor = LivenessMonitor(clock)
+        monitor = LivenessMonitor(clock, lambda: False)
         clock.now = 3
         assert not monitor.liveness_confirmed
 
@@ -39,8 +39,20 @@
     def test_only_a_query_after_the_pause_confirms_liveness(
         self, clock, queried_at, confirmed
     ):
-        monitor = LivenessMonitor(clock)
+        monitor = LivenessMonitor(clock, lambda: False)
         clock.now = 3
         monitor.record_tick()
         monitor.confirm_liveness(queried_at)
         assert monitor.liveness_confirmed is confirmed
+
+    def test_liveness_is_unconfirmed_while_cut_off_and_until_a_later_query(self, clock):
+        cut_off = [True]
+        monitor = LivenessMonitor(clock, lambda: bool(cut_off))
+        assert not monitor.liveness_confirmed
+        for clock.now in (1, 2):
+            monitor.record_tick()
+        cut_off.clear()
+        monitor.confirm_liveness(1.9)
+        assert not monitor.liveness_confirmed
+        monitor.confirm_liveness(2)
+        assert monitor.liveness_confirmed
