Give a returning agent its whole grace after each loss of its link

Callers would see: outcome_unknown for jobs and non-idempotent requests whose tasks run at an agent that is linked, then no_target or overloaded as long as that link stays open.

Cause: each lost link starts a grace of 3 s, at whose end a missing link is taken as proof that the agent is gone. The grace of an earlier loss ended within that of a later one and removed the agent early; when the agent then came back, the grace of the later loss, which still looked at the former registration, removed the new one although its link was open. The agent does not join again while it has a link.

Change: only the grace of the latest loss ends an agent.

--- a/libs/endivetally-entry/src/endivetally_entry/agent_links.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_links.py
@@ -250,10 +250,13 @@
     async def _handle_lost_link(self, agent: 'RegisteredAgent') -> None:
         incarnation = agent.identity.incarnation
         agent.link = None
+        agent.losses += 1
+        losses = agent.losses
         self._change_state(agent, 'closed')
         self._dispatcher.fail_attempts(incarnation, 'link_lost', exclusive=False)
         await asyncio.sleep(REJOIN_GRACE_S)
-        if agent.link is not None:
+        # After a later loss the agent has the whole time again.
+        if agent.link is not None or agent.losses != losses:
             return
         self._agent_registry.remove(incarnation)
         self._journal.remove_agents(frozenset((incarnation,)))
--- a/libs/endivetally-entry/src/endivetally_entry/agent_registry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/agent_registry.py
@@ -17,6 +17,7 @@
 
     :param link: the open link; ``None`` while the agent is disconnected.
     :param state: last reported state, or ``silent``.
+    :param losses: number of times that its last open link was lost.
     :param last_received_at: time of its last frame, on the event loop's clock.
     :param watched: whether it sends heartbeats to this entry.
     :param probed_at: time of the probe that it has not responded to yet; ``None``
@@ -28,6 +29,7 @@
     state: str = 'closed'
     running: int = 0
     memory_mb: int = 0
+    losses: int = 0
     last_received_at: float = 0
     watched: bool = False
     probed_at: float | None = None
