Keep the slot of a late task until its cancellation is answered

Operators would see: a target that is slow to answer, or frozen for some seconds, gets more tasks at once than it has slots.

Cause: a task past its deadline was cancelled with one call of at most 1 s, and counted as ended after that, also when the call had no answer and the task went on. A command that was merely sent was taken as proof. Callers were told unknown, as they should be, and no job ran twice for it.

Evidence: tests/agent/test_target_client.py; with one and two unanswered cancellations the run counted as ended while the target still ran it.

Change: the cancellation is repeated until the target answers or refuses the connection, 10 times at most, so that an agent that drains ends. After that the slot is free without a proof. The owner gives up at its own deadline, so no caller waits longer.

--- a/libs/endivetally-agent/src/endivetally_agent/target_client.py
+++ b/libs/endivetally-agent/src/endivetally_agent/target_client.py
@@ -1,6 +1,6 @@
 """Runs tasks at the target over HTTP."""
 
-import contextlib
+import asyncio
 import time
 from typing import Final
 from urllib.parse import quote
@@ -18,6 +18,9 @@
 from endivetally_agent.admission import RefusalReason
 
 CANCEL_TIMEOUT_S: Final = 1
+# An unanswered cancellation of a run past its deadline is repeated this often.
+CANCEL_ATTEMPTS: Final = 10
+CANCEL_RETRY_S: Final = 0.2
 MS_PER_S: Final = 1000
 STATUS_OK: Final = 200
 
@@ -57,6 +60,9 @@
     async def run_task(self, dispatch: Dispatch) -> Outcome:
         """Run a task until it ends or its deadline passes.
 
+        A run past its deadline is cancelled. Until the target answers that, the run
+        may go on there and uses its slot, but no longer than for `CANCEL_ATTEMPTS`.
+
         :return: the outcome, with the status ``refused`` only if the target refused
             the connection, so that nothing was sent, and with ``unknown`` if the
             deadline passed or the connection was lost.
@@ -71,6 +77,18 @@
 
         A request that fails is not repeated.
         """
+        await self._try_cancel(attempt_id)
+
+    async def _cancel_until_answered(self, attempt_id: AttemptId) -> None:
+        attempts_left = CANCEL_ATTEMPTS
+        while not await self._try_cancel(attempt_id):
+            attempts_left -= 1
+            if not attempts_left:
+                return
+            await asyncio.sleep(CANCEL_RETRY_S)
+
+    async def _try_cancel(self, attempt_id: AttemptId) -> bool:
+        """Return whether the target answered, or nothing listens there any more."""
         self._cancelled.add(attempt_id)
         request = HTTPRequest(
             f'{self._base_url}/cancel',
@@ -79,8 +97,13 @@
             body=b'',
             request_timeout=CANCEL_TIMEOUT_S,
         )
-        with contextlib.suppress(HTTPClientError, OSError):
-            await self._client.fetch(request)
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError:
+            return True
+        except (HTTPClientError, OSError):
+            return False
+        return True
 
     async def _send_run_request(self, dispatch: Dispatch, started_at: float) -> Outcome:
         attempt_id = dispatch.attempt_id
@@ -91,7 +114,7 @@
         except ConnectionRefusedError:
             return Outcome(attempt_id, 'refused', RefusalReason.CLOSED.value)
         except HTTPTimeoutError:
-            await self.cancel_task(attempt_id)
+            await self._cancel_until_answered(attempt_id)
             return Outcome(
                 attempt_id, 'unknown', 'deadline', run_ms=_elapsed_ms(started_at)
             )
--- a/tests/agent/test_target_client.py
+++ b/tests/agent/test_target_client.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+from endivetally_agent import target_client
 from endivetally_agent.target_client import TargetClient
 from endivetally_core.joining import Announcement
 from endivetally_core.messages import AttemptId
@@ -83,6 +84,44 @@
         assert target.stats.max_concurrent == 2
 
 
+class DeafTarget:
+    """A target that never ends a run, and leaves its first cancellations unanswered.
+
+    :param unanswered: number of cancellations that it does not answer.
+    """
+
+    def __init__(self, unanswered):
+        self.running = 0
+        self._unanswered = unanswered
+
+    async def serve(self, reader, writer):
+        request = await reader.readuntil(b'\r\n\r\n')
+        if request.startswith(b'POST /run'):
+            self.running += 1
+        elif self._unanswered:
+            self._unanswered -= 1
+        else:
+            self.running = 0
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        await reader.read()
+        writer.close()
+
+
+class TestCancellation:
+    @pytest.mark.parametrize('unanswered', [0, 1, 2])
+    async def test_a_run_has_not_ended_while_its_cancellation_is_unanswered(
+        self, unanswered, monkeypatch
+    ):
+        monkeypatch.setattr(target_client, 'CANCEL_TIMEOUT_S', 0.1)
+        target = DeafTarget(unanswered)
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            outcome = await _make_client(port).run_task(_dispatch(0, {}, 100))
+        assert (outcome.status, outcome.reason) == ('unknown', 'deadline')
+        assert target.running == 0
+
+
 class TestStartRecord:
     async def test_each_start_is_recorded_as_one_line(self, tmp_path):
         options = TargetOptions(f'127.0.0.1:{_free_port()}', 'lookups')
