Say unknown after news of a shard map that can not be read

Cause: the third entry reports the newer shard map with each heartbeat; when it could not be read, the entry went on as if it owned its keys.

Evidence: tests/differential/test_partition.py, the two cases with one linked entry, gave ("ran", "not_run") before, 8 s and 30 s after the cut.

Change: a failed read of a newer map makes the ownership uncertain until a later read of the table shows this entry as live.

--- a/libs/endivetally-entry/src/endivetally_entry/liveness.py
+++ b/libs/endivetally-entry/src/endivetally_entry/liveness.py
@@ -10,8 +10,9 @@
     """Tells whether another entry may have taken over this one.
 
     Other entries take over only after a silence longer than the pause threshold.
-    After a longer pause, or while no other entry is heard, the ownership of this
-    entry's keys is uncertain, until a later read of the table shows its row as live.
+    After a longer pause, while no other entry is heard, or when there is a newer shard
+    map that can't be read, the ownership of this entry's keys is uncertain, until a
+    later read of the table shows its row as live.
 
     :param clock: returns monotonic seconds.
     :param is_cut_off: returns whether this entry hears none of the other entries.
@@ -27,19 +28,23 @@
 
     @property
     def liveness_confirmed(self) -> bool:
-        """Whether no pause or cut has happened since the last confirmation."""
+        """Whether ownership has not become uncertain since the last confirmation."""
         return self._uncertain_at is None and not self._is_uncertain()
 
     def record_tick(self) -> None:
         """Record that the event loop runs; call it several times a second."""
         if self._is_uncertain():
-            self._uncertain_at = self._clock()
+            self.mark_uncertain()
         self._last_tick = self._clock()
 
+    def mark_uncertain(self) -> None:
+        """Record that another entry may have taken over this one by now."""
+        self._uncertain_at = self._clock()
+
     def confirm_liveness(self, queried_at: float) -> None:
         """Record that the table shows this entry as live.
 
-        A query sent before the end of the last pause or cut confirms nothing.
+        A query sent before ownership last became uncertain confirms nothing.
 
         :param queried_at: time at which the table was queried.
         """
--- a/libs/endivetally-entry/src/endivetally_entry/peering.py
+++ b/libs/endivetally-entry/src/endivetally_entry/peering.py
@@ -80,6 +80,8 @@
         try:
             await self._entry.ownership.refresh()
         except TableUnavailable:
+            # The newer map may show a takeover of this entry.
+            self._entry.liveness.mark_uncertain()
             _log.debug('shard map not refreshed: the table service is unavailable')
 
     async def _respond_to_forward(self, peer: 'PeerEntry', message: Forward) -> None:
--- a/tests/differential/cluster.py
+++ b/tests/differential/cluster.py
@@ -396,13 +396,16 @@
         nodes[left.incarnation].serve(JoinRequest(entry=right), connection.left)
         nodes[right.incarnation].serve(JoinRequest(entry=left), connection.right)
 
-    def cut_off_entry(self, entry):
-        """Cut an entry off from the table and all other entries, not from agents.
+    def cut_off_entry(self, entry, still_linked=()):
+        """Cut an entry off from the table and from other entries, not from agents.
 
         Links to other entries stay open and silent, as in a network partition.
+
+        :param still_linked: entries from which it is not cut off.
         """
         self.cut_off_entries.add(entry.incarnation)
-        others = {node.incarnation for node in self._entry_nodes} - {entry.incarnation}
+        linked = {node.incarnation for node in (entry, *still_linked)}
+        others = {node.incarnation for node in self._entry_nodes} - linked
         for connection in self.open_connections:
             if entry.incarnation in connection.names and others & set(connection.names):
                 connection.hold()
--- a/tests/differential/test_partition.py
+++ b/tests/differential/test_partition.py
@@ -45,13 +45,16 @@
     return submission
 
 
-async def _submit_at_both_sides(cut_off_s):
-    """Run a key at its new owner, then submit it at the owner that is cut off."""
+async def _submit_at_both_sides(cut_off_s, linked_count):
+    """Run a key at its new owner, then submit it at the owner that is cut off.
+
+    :param linked_count: number of entries from which the owner is not cut off.
+    """
     checker = Checker()
     cluster = await _start_cluster(checker)
     owner = _find_owner(cluster, cluster.entries['entry-1'])
-    cluster.cut_off_entry(owner)
-    other = next(node for node in cluster.entries.values() if node is not owner)
+    other, *rest = (node for node in cluster.entries.values() if node is not owner)
+    cluster.cut_off_entry(owner, rest[:linked_count])
     await asyncio.sleep(cut_off_s)
     assert _find_owner(cluster, other) is not owner
     rerun, stale = await _submit(other), await _submit(owner)
@@ -59,10 +62,14 @@
     return rerun, stale, checker
 
 
-@pytest.mark.parametrize('cut_off_s', [5, 8, 30])
+@pytest.mark.parametrize(
+    ('cut_off_s', 'linked_count'), [(5, 0), (8, 0), (30, 0), (8, 1), (30, 1)]
+)
 def test_an_entry_that_is_cut_off_says_not_run_of_no_key_that_runs_elsewhere(
-    cut_off_s,
+    cut_off_s, linked_count
 ):
-    rerun, stale, checker = run_virtually(_submit_at_both_sides(cut_off_s))
+    rerun, stale, checker = run_virtually(
+        _submit_at_both_sides(cut_off_s, linked_count)
+    )
     assert (rerun.ran, stale.ran) == ('ran', 'unknown')
     assert checker.faults == []
--- a/tests/entry/test_liveness.py
+++ b/tests/entry/test_liveness.py
@@ -56,3 +56,13 @@
         assert not monitor.liveness_confirmed
         monitor.confirm_liveness(2)
         assert monitor.liveness_confirmed
+
+    def test_liveness_is_unconfirmed_after_news_until_a_later_query(self, clock):
+        monitor = LivenessMonitor(clock, lambda: False)
+        clock.now = 1
+        monitor.record_tick()
+        monitor.mark_uncertain()
+        monitor.confirm_liveness(0.9)
+        assert not monitor.liveness_confirmed
+        monitor.confirm_liveness(1)
+        assert monitor.liveness_confirmed
