Take the fencing token from the target's first response to the agent

What callers would see: a task runs twice at once after an agent has died and started anew. Not seen in the users' record.

Cause: the token was the clock in the report that opened the session. A report that is not acknowledged within a second is sent again, so two processes of an agent could use the same token. Then the starts of the former one are not refused, and one empty list was no proof that none of them was still to come. The new process renewed their lease.

Evidence: test_late_start_of_a_former_agent_process_is_not_renewed_after_a_repeated_report failed before: 4 tasks ran twice, with starts held for 0.7 s and stops for 1.9 s. Whether the users' targets repeat a report with the same clock is not known.

Change: the token is the clock in the first response to this session, which is later than that of any former process.

--- a/libs/endivetally-held/src/endivetally_held/lease.py
+++ b/libs/endivetally-held/src/endivetally_held/lease.py
@@ -19,12 +19,17 @@
 class LeaseTracker:
     """Renews a lease and tracks when the target must have ended all runs.
 
-    :param clock_ms: the target's clock now. It also serves as the fencing token, so
-        that each restart of the agent gets a higher token for the same target instance.
+    The fencing token is the target's clock in its first response, which is higher than
+    the token of any former process of the agent. A report does not serve as well, since
+    it may be sent to two of them.
+
+    :param clock_ms: the target's clock in a report; the token until that response.
     :param clock: returns local monotonic time in seconds.
     """
 
     def __init__(self, clock_ms: int, clock: Callable[[], float]) -> None:
+        # Whether the token is that of the first response.
+        self.has_own_token = False
         self._token = clock_ms
         self._clock = clock
         self._clock_offset_ms = clock_ms - clock() * 1000
@@ -69,6 +74,9 @@
         """
         self._last_response_at = self._clock()
         if clock_ms is not None:
+            if not self.has_own_token:
+                self._token = clock_ms
+                self.has_own_token = True
             self._clock_offset_ms = clock_ms - self._last_response_at * 1000
 
     def _compute_latest_expiry(self) -> float:
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -330,6 +330,8 @@
         self._listener.session_lost(target_ended=target_ended)
 
     def _apply_poll_result(self, poll_result: PollResult, sent_at: float) -> None:
+        # Only such a poll fences the starts of former processes of the agent.
+        fences = self._lease.has_own_token
         self._lease.record_response(poll_result.clock_ms)
         for ended in poll_result.ended:
             if ended.sequence > self._last_end_sequence:
@@ -340,7 +342,7 @@
         self._move_slow_runs()
         self._finish_missing(poll_result, sent_at)
         settle_expired_starts(self._runs.values(), poll_result.clock_ms, self._clock())
-        if not self.orphans_ended and not poll_result.running:
+        if fences and not self.orphans_ended and not poll_result.running:
             self.orphans_ended = True
             self._listener.capacity_changed()
 
--- a/tests/held/test_target_instances.py
+++ b/tests/held/test_target_instances.py
@@ -5,6 +5,7 @@
 import pytest
 from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
+from endivetally_policy.held import RunEnd
 from held.cluster import Cluster
 from held.cluster import job
 
@@ -12,11 +13,11 @@
 REPORT_INTERVAL_S = 0.5
 
 
-def run_scenario(scenario, agents=2):
+def run_scenario(scenario, agents=2, run_s=RUN_S):
     """Run a scenario, and check that no task ran twice at once."""
 
     async def run():
-        cluster = Cluster(entries=1, agents=agents, run_s=RUN_S)
+        cluster = Cluster(entries=1, agents=agents, run_s=run_s)
         await cluster.start()
         try:
             await scenario(cluster)
@@ -121,3 +122,35 @@
         assert response.result is JobResult.COMPLETED
 
     run_scenario(scenario, agents=1)
+
+
+def test_late_start_of_a_former_agent_process_is_not_renewed_after_a_repeated_report():
+    async def scenario(cluster):
+        target = cluster.targets['agent-0']
+        repeated = target.create_next_report()
+        target.create_next_report = lambda: repeated
+        await restart_agent(cluster)
+        await asyncio.sleep(1)
+        target.faults.start_delay_s = 0.7
+        target.faults.stop_delay_s = 1.9
+        submission = asyncio.ensure_future(
+            cluster.submit('entry-0', job('a', 8, timeout_s=16, estimate_s=3))
+        )
+        while not cluster.agents['agent-0'].running_count:
+            await asyncio.sleep(0.01)
+        cluster.nodes['agent-0'].kill()
+        cluster.start_agent('agent-0')
+        await asyncio.sleep(0.1)
+        target.faults.start_delay_s = 0
+        del target.create_next_report
+        response = await submission
+        assert cluster.run_history.violations == []
+        assert response.result is JobResult.COMPLETED
+        late = [
+            run
+            for run in cluster.run_history.runs
+            if run.run_number == 1 and run.target == target.report.target_id
+        ]
+        assert {run.end for run in late} <= {RunEnd.LEASE_EXPIRED}
+
+    run_scenario(scenario, run_s=3)
