--- a/tests/adapter/servers.py
+++ b/tests/adapter/servers.py
@@ -1,5 +1,6 @@
 """HTTP servers for the tests of the platform's adapter."""
 
+import asyncio
 import json
 from contextlib import asynccontextmanager
 
@@ -13,7 +14,7 @@
     def initialize(self, stand_in):
         self.stand_in = stand_in
 
-    def post(self, command):
+    async def post(self, command):
         target = self.stand_in
         target.commands.append(
             (
@@ -22,6 +23,8 @@
                 self.request.headers.get('X-Expect-Instance'),
             )
         )
+        if command in target.held:
+            await target.released.wait()
         status, body = target.responses.get(command, (200, {'clockMs': 5}))
         self.set_status(status)
         self.finish(body if isinstance(body, bytes) else json.dumps(body))
@@ -30,12 +33,15 @@
 class ScriptedTarget:
     """A target that records commands and sends prepared responses.
 
-    ``responses`` maps a command to the status and the body of its response.
+    ``responses`` maps a command to the status and the body of its response. Those to
+    commands in ``held`` are held until ``released`` is set.
     """
 
     def __init__(self):
         self.commands = []
         self.responses = {}
+        self.held = set()
+        self.released = asyncio.Event()
 
     def create_application(self):
         return Application([('/v1/([a-z-]+)', _CommandHandler, {'stand_in': self})])
--- a/tests/adapter/test_target_client.py
+++ b/tests/adapter/test_target_client.py
@@ -1,5 +1,6 @@
 """Tests of the target client (commands and polls) and of decoding target reports."""
 
+import asyncio
 import json
 
 import pytest
@@ -15,6 +16,8 @@
 from endivetally_held.target_client import PollFailed
 from endivetally_held.target_client import TargetReport
 from endivetally_held.target_client import TargetSessionLost
+from endivetally_platform import target_client
+from endivetally_platform.http_client import MAX_CONNECTIONS
 from endivetally_platform.target_client import HttpTargetClientFactory
 from endivetally_platform.target_client import decode_report
 from endivetally_policy.held import Resources
@@ -177,6 +180,28 @@
         await client.poll(FencedLease(7), 0, 0, 1)
 
 
+@pytest.mark.parametrize('command', ['run-start', 'run-stop'])
+async def test_polls_do_not_wait_behind_held_commands(
+    target_and_client, command, monkeypatch
+):
+    target, client = target_and_client
+    monkeypatch.setattr(target_client, 'COMMAND_TIMEOUT_S', 5)
+    target.held.add(command)
+    target.responses['hold'] = (200, {'clockMs': 8, 'running': [], 'ended': []})
+    lease = FencedLease(7, 486000)
+    if command == 'run-start':
+        calls = [client.start_run(TASK, 1, '', lease) for _ in range(MAX_CONNECTIONS)]
+    else:
+        calls = [client.stop_run(TASK, 1, lease) for _ in range(MAX_CONNECTIONS)]
+    commands = asyncio.gather(*calls)
+    while len(target.commands) < MAX_CONNECTIONS:
+        await asyncio.sleep(0.005)
+    await client.poll(lease, 0, 0, 1)
+    assert not commands.done()
+    target.released.set()
+    await commands
+
+
 async def test_unreachable_target_gives_no_response():
     report = TargetReport('i-1', 'p', '127.0.0.1:1', Resources(1, 1), False, 0, 0)
     client = HttpTargetClientFactory(create_events()).create_client(report)
