End only the session whose target instance answered that it has ended

What callers would see: a machine is out of use until its target starts anew.

Cause: a session that was replaced is closed in the next iteration of the event loop. If the answer to its poll arrives in between (421, from the new instance), the agent dropped the session with the new one, which was ignored from then on: the loss did not name the session. Both come within milliseconds, as the new instance sends its report and the 421.

Change: session_lost names the session, and the agent ignores one that it no longer uses.

--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -160,13 +160,14 @@
         self._refuse_excess_runs()
         self._state_reporter.mark_changed()
 
-    def session_lost(self, *, target_ended: bool) -> None:
+    def session_lost(self, session: TargetSession, *, target_ended: bool) -> None:
         """Drop the session with a target instance that rejects its commands.
 
         If the instance is still there, its next report opens a new session with a
         higher fencing token, which first stops the runs that this one left behind.
         """
-        self._drop_session(target_ended=target_ended)
+        if session is self._session:
+            self._drop_session(target_ended=target_ended)
 
     def entry_connected(self, peer: EntryPeer) -> None:
         """Send the state of the target to a new entry."""
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -58,9 +58,10 @@
         """Handle a change of the free capacity or of the permission to start runs."""
 
     @abstractmethod
-    def session_lost(self, *, target_ended: bool) -> None:
+    def session_lost(self, session: 'TargetSession', *, target_ended: bool) -> None:
         """Handle the loss of a session whose commands the target instance rejects.
 
+        :param session: the lost one, which may have been replaced meanwhile.
         :param target_ended: whether the instance has ended; otherwise it has seen a
             higher fencing token.
         """
@@ -327,7 +328,7 @@
         )
         if not target_ended:
             await asyncio.sleep(self._lease.remaining_s)
-        self._listener.session_lost(target_ended=target_ended)
+        self._listener.session_lost(self, target_ended=target_ended)
 
     def _apply_poll_result(self, poll_result: PollResult, sent_at: float) -> None:
         # Only such a poll fences the starts of former processes of the agent.
--- a/tests/held/test_target_instances.py
+++ b/tests/held/test_target_instances.py
@@ -6,6 +6,7 @@
 from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
 from endivetally_policy.held import RunEnd
+from endivetally_standins.held_target import CALL_LATENCY_S
 from held.cluster import Cluster
 from held.cluster import job
 
@@ -154,3 +155,23 @@
         assert {run.end for run in late} <= {RunEnd.LEASE_EXPIRED}
 
     run_scenario(scenario, run_s=3)
+
+
+@pytest.mark.parametrize('steps', range(8))
+def test_answer_of_a_former_instance_does_not_end_the_session_with_the_next(steps):
+    async def scenario(cluster):
+        submission = await submit_and_wait_for_runs(cluster)
+        former = cluster.targets['agent-0']
+        await cluster.create_target('agent-0')
+        present = cluster.targets['agent-0']
+        cluster.agents['agent-0'].apply_report(present.create_next_report())
+        await asyncio.sleep(CALL_LATENCY_S)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        former.crash()
+        await submission
+        await asyncio.sleep(2 * REPORT_INTERVAL_S)
+        response = await cluster.submit('entry-0', job('b'))
+        assert response.result is JobResult.COMPLETED
+
+    run_scenario(scenario, agents=1)
