Keep the runs of a leaving instance until their lease is over

What callers would see: tasks run twice at once when a target leaves with runs that have not ended.

Cause: a leave was taken as the end of the instance, and its runs were reported as lost before the response to the leave was sent. The instance ends after the response, or some seconds later if it gets none, and its runs go on until then.

A session that waits for the end of its lease is no longer accepting.

--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from functools import partial
+from typing import Any
 from typing import Final
 from typing import Self
 
@@ -130,12 +132,15 @@
         return True
 
     def handle_target_left(self, target_id: str) -> None:
-        """Close the session of a target instance that has ended."""
+        """End the session with an instance that announces its end.
+
+        It ends after the response, or seconds later if it gets none; until then its
+        runs go on as long as their lease.
+        """
         session = self._session
         if session is None or session.report.target_id != target_id:
             return
-        self._events.emit(Event.TARGET_LEFT, target=target_id, reason='left')
-        self._drop_session(target_ended=True)
+        _run_to_end(self._closing_tasks, session.lose(target_ended=True, leaving=True))
 
     def run_ended(self, run: Run, end: RunEnd, run_s: float) -> None:
         """Report the end of a run to its entry, and start waiting runs."""
@@ -250,9 +255,7 @@
         self._session = None
         if target_ended:
             self._ended_targets.append(session.report.target_id)
-        closing = asyncio.create_task(session.close())
-        self._closing_tasks.add(closing)
-        closing.add_done_callback(self._closing_tasks.discard)
+        _run_to_end(self._closing_tasks, session.close())
         self._refuse_backlog()
         session.end_all_runs(RunEnd.LOST)
         self._state_reporter.mark_changed()
@@ -380,3 +383,12 @@
             if self._clock() - last_heartbeat_at >= HEARTBEAT_CHECK_S:
                 last_heartbeat_at = self._clock()
                 self.entry_server.send_heartbeats()
+
+
+def _run_to_end(
+    tasks: set[asyncio.Task[None]], work: Coroutine[Any, Any, None]
+) -> None:
+    """Start a task, and keep it in a set until it is done."""
+    task = asyncio.create_task(work)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -102,7 +102,10 @@
     def accepting(self) -> bool:
         """Whether runs may be queued for the target."""
         return (
-            self.orphans_ended and not self.report.draining and self._lease.in_contact
+            self.orphans_ended
+            and not self._closed
+            and not self.report.draining
+            and self._lease.in_contact
         )
 
     @property
@@ -129,6 +132,26 @@
             task.cancel()
         await self._target.close()
 
+    async def lose(self, *, target_ended: bool, leaving: bool = False) -> None:
+        """Report the lost session once none of its runs can still be running.
+
+        :param target_ended: whether the instance has ended, or is leaving.
+        :param leaving: whether the instance may go on for some seconds.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        reason = 'other_target' if target_ended else 'fenced'
+        self._events.emit(
+            Event.TARGET_LEFT,
+            target=self.report.target_id,
+            reason='left' if leaving else reason,
+        )
+        if not target_ended or (leaving and self._runs):
+            self._listener.capacity_changed()
+            await asyncio.sleep(self._lease.remaining_s)
+        self._listener.session_lost(self, target_ended=target_ended)
+
     def start_run(self, run: Run) -> bool:
         """Start a run if it fits, without waiting for the response.
 
@@ -229,9 +252,7 @@
             self._report_health()
         self._finish_run(run, _REFUSALS.get(result, RunEnd.REFUSED_TARGET))
         if result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
-            await self._lose_session(
-                target_ended=result is CommandResult.WRONG_INSTANCE
-            )
+            await self.lose(target_ended=result is CommandResult.WRONG_INSTANCE)
 
     async def _send_stop(self, run: Run) -> None:
         """Repeat the stop command until the target accepts it or the run has ended."""
@@ -253,7 +274,7 @@
                 )
                 return
             if response.result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
-                await self._lose_session(
+                await self.lose(
                     target_ended=response.result is CommandResult.WRONG_INSTANCE
                 )
                 return
@@ -274,7 +295,7 @@
                 await self._handle_failed_poll(str(error))
                 continue
             except TargetSessionLost as error:
-                await self._lose_session(target_ended=error.target_ended)
+                await self.lose(target_ended=error.target_ended)
                 return
             if self._failed_polls > 1:
                 self._listener.capacity_changed()
@@ -316,20 +337,6 @@
             self.end_all_runs(RunEnd.LEASE_EXPIRED)
         await asyncio.sleep(POLL_RETRY_S)
 
-    async def _lose_session(self, *, target_ended: bool) -> None:
-        """Report the lost session once none of its runs can still be running."""
-        if self._closed:
-            return
-        self._closed = True
-        self._events.emit(
-            Event.TARGET_LEFT,
-            target=self.report.target_id,
-            reason='other_target' if target_ended else 'fenced',
-        )
-        if not target_ended:
-            await asyncio.sleep(self._lease.remaining_s)
-        self._listener.session_lost(self, target_ended=target_ended)
-
     def _apply_poll_result(self, poll_result: PollResult, sent_at: float) -> None:
         # Only such a poll fences the starts of former processes of the agent.
         fences = self._lease.has_own_token
