--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -67,9 +67,10 @@
         """Handle a change of the free capacity or of the permission to start runs."""
 
     @abstractmethod
-    def session_lost(self, *, target_ended: bool) -> None:
+    def session_lost(self, session: 'TargetSession', *, target_ended: bool) -> None:
         """Handle the loss of a session whose commands the target instance rejects.
 
+        :param session: the lost one, which may have been replaced meanwhile.
         :param target_ended: whether the instance has ended; otherwise it has seen a
             higher fencing token.
         """
@@ -101,7 +102,7 @@
         self._lease = LeaseTracker(report.clock_ms, clock)
         self._runs: dict[TaskKey, Run] = {}
         self._reappearances = ReappearanceDetector(events, clock)
-        self._stops = StopSender(target, self._lease, events, clock, self._lose_session)
+        self._stops = StopSender(target, self._lease, events, clock, self.lose)
         self._last_end_sequence = 0
         self._failed_polls = 0
         self._renewal_paused = False
@@ -112,7 +113,10 @@
     def accepting(self) -> bool:
         """Whether runs may be queued for the target."""
         return (
-            self.orphans_ended and not self.report.draining and self._lease.in_contact
+            self.orphans_ended
+            and not self._closed
+            and not self.report.draining
+            and self._lease.in_contact
         )
 
     @property
@@ -139,6 +143,26 @@
             task.cancel()
         await self._target.close()
 
+    async def lose(self, *, target_ended: bool, leaving: bool = False) -> None:
+        """Report the lost session once none of its runs can still be running.
+
+        :param target_ended: whether the instance has ended, or is leaving.
+        :param leaving: whether the instance may go on for some seconds.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        reason = 'other_target' if target_ended else 'fenced'
+        self._events.emit(
+            Event.TARGET_LEFT,
+            target=self.report.target_id,
+            reason='left' if leaving else reason,
+        )
+        if not target_ended or (leaving and self._runs):
+            self._listener.capacity_changed()
+            await asyncio.sleep(self._lease.remaining_s)
+        self._listener.session_lost(self, target_ended=target_ended)
+
     def start_run(self, run: Run) -> bool:
         """Start a run if it fits, without waiting for the response.
 
@@ -240,7 +264,7 @@
             self._report_health()
         self._finish_run(run, _REFUSALS.get(result, RunEnd.REFUSED_TARGET))
         if result in {CommandResult.FENCED, CommandResult.WRONG_INSTANCE}:
-            await self._lose_session(result is CommandResult.WRONG_INSTANCE)
+            await self.lose(target_ended=result is CommandResult.WRONG_INSTANCE)
 
     async def _poll_repeatedly(self) -> None:
         while not self._closed:
@@ -251,7 +275,7 @@
                 await self._handle_failed_poll(str(error))
                 continue
             except TargetSessionLost as error:
-                await self._lose_session(error.target_ended)
+                await self.lose(target_ended=error.target_ended)
                 return
             if self._failed_polls > 1:
                 self._listener.capacity_changed()
@@ -313,21 +337,9 @@
             self.end_all_runs(RunEnd.LEASE_EXPIRED)
         await asyncio.sleep(POLL_RETRY_S)
 
-    async def _lose_session(self, target_ended: bool) -> None:
-        """Report the lost session once none of its runs can still be running."""
-        if self._closed:
-            return
-        self._closed = True
-        self._events.emit(
-            Event.TARGET_LEFT,
-            target=self.report.target_id,
-            reason='other_target' if target_ended else 'fenced',
-        )
-        if not target_ended:
-            await asyncio.sleep(self._lease.remaining_s)
-        self._listener.session_lost(target_ended=target_ended)
-
     def _apply_poll_result(self, poll_result: PollResult, sent_at: float) -> None:
+        # Only such a poll fences the starts of former processes of the agent.
+        fences = self._lease.has_own_token
         self._lease.record_response(poll_result.clock_ms)
         for ended in poll_result.ended:
             if ended.sequence > self._last_end_sequence:
@@ -343,7 +355,7 @@
             self._move_run(run, now, 'slow')
         self._finish_missing(poll_result, sent_at)
         settle_expired_starts(self._runs.values(), poll_result.clock_ms, self._clock())
-        if not self.orphans_ended and not poll_result.running:
+        if fences and not self.orphans_ended and not poll_result.running:
             self.orphans_ended = True
             self._listener.capacity_changed()
 
--- a/libs/endivetally-held/src/endivetally_held/stops.py
+++ b/libs/endivetally-held/src/endivetally_held/stops.py
@@ -28,8 +28,8 @@
 class StopSender:
     """Sends the stops of runs at one instance of a target.
 
-    :param lose_session: called when the target rejects the session; its argument
-        tells whether the instance has ended.
+    :param lose_session: called when the target rejects the session, with
+        ``target_ended``.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         lease: LeaseTracker,
         events: EventLog,
         clock: Callable[[], float],
-        lose_session: Callable[[bool], Awaitable[None]],
+        lose_session: Callable[..., Awaitable[None]],
     ) -> None:
         self._target = target
         self._lease = lease
@@ -103,7 +103,7 @@
                 return True
             if response.result in _FINAL_RESULTS:
                 await self._lose_session(
-                    response.result is CommandResult.WRONG_INSTANCE
+                    target_ended=response.result is CommandResult.WRONG_INSTANCE
                 )
                 return True
         return False
