End overlapping faults of the soak test each by itself

What callers would see: nothing; the soak's checks were wrong.

Cause: a fault of the store restored the values that it had found. When the same fault began before the other had ended, the second one found the first one's value and set it for good, so the store stayed unresponsive, for instance, to the end of the run. A fault of a target restored all settings of the target, so it ended every other fault there.

Change: when a fault ends, it resets only the values that it sets, to those without faults.

--- a/libs/endivetally/src/endivetally/soak/faults.py
+++ b/libs/endivetally/src/endivetally/soak/faults.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from endivetally_platform.standins import WorkerStandIn
+from endivetally_platform.standins.store import StoreFaults
 from endivetally_standins.held_target import TargetFaults
 
 from endivetally.soak.deployment import SHUTDOWN_GRACE_S
@@ -228,24 +229,33 @@
         machine.store_proxy.restore()
 
 
-class StoreFault(Fault):
-    """A fault of the store that affects all machines.
+class SettingFault(Fault):
+    """Base class of faults that are set in the fault settings of a stand-in.
 
-    :param faults: values to set in the faults of the store, by attribute.
+    :param settings: values to set, by attribute.
     """
 
-    def __init__(self, name: str, **faults: float | bool) -> None:
+    def __init__(self, name: str, **settings: float | bool) -> None:
         self.name = name
-        self._faults = faults
+        self._settings = settings
+
+    async def _set_for(self, faults: StoreFaults | TargetFaults, time_s: float) -> None:
+        """Set the values for some time, then those without faults."""
+        for name, setting in self._settings.items():
+            setattr(faults, name, setting)
+        await asyncio.sleep(time_s)
+        without = type(faults)()
+        for name in self._settings:
+            setattr(faults, name, getattr(without, name))
+
+
+class StoreFault(SettingFault):
+    """A fault of the store that affects all machines."""
 
     async def inject(self, deployment: SoakDeployment, rng: random.Random) -> None:
-        """Set the faults for some seconds, then restore the former values."""
-        before = {name: getattr(deployment.store.faults, name) for name in self._faults}
-        for name, setting in self._faults.items():
-            setattr(deployment.store.faults, name, setting)
-        await asyncio.sleep(rng.uniform(*DURATION_RANGE_S) * 2)
-        for name, setting in before.items():
-            setattr(deployment.store.faults, name, setting)
+        """Set the faults of the store for some seconds."""
+        time_s = rng.uniform(*DURATION_RANGE_S) * 2
+        await self._set_for(deployment.store.faults, time_s)
 
 
 class StoreHistoryLoss(Fault):
@@ -258,25 +268,15 @@
         deployment.store.discard_history()
 
 
-class TargetFault(Fault):
-    """A fault of a single target.
-
-    :param enable: function that enables the fault in the faults of a target.
-    """
-
-    def __init__(self, name: str, enable: Callable[[TargetFaults], None]) -> None:
-        self.name = name
-        self._enable = enable
+class TargetFault(SettingFault):
+    """A fault of a single target."""
 
     async def inject(self, deployment: SoakDeployment, rng: random.Random) -> None:
-        """Enable the fault at a random target for some seconds."""
+        """Set the faults of a random target for some seconds."""
         worker = rng.choice(deployment.agents).worker
-        if worker is None:
-            return
-        target = worker.instance
-        self._enable(target.faults)
-        await asyncio.sleep(rng.uniform(*DURATION_RANGE_S))
-        target.faults = TargetFaults()
+        if worker is not None:
+            time_s = rng.uniform(*DURATION_RANGE_S)
+            await self._set_for(worker.instance.faults, time_s)
 
 
 class TargetShutdown(Fault):
@@ -342,10 +342,6 @@
         await deployment.add_machine(removed.role)
 
 
-def _create_setter(name: str, *, setting: float) -> Callable[[TargetFaults], None]:
-    return lambda faults: setattr(faults, name, setting)
-
-
 FAULTS: Final[tuple[Fault, ...]] = (
     *(kind(role) for role in ('entry', 'agent') for kind in (Kill, Terminate, Freeze)),
     *(
@@ -366,11 +362,11 @@
     StoreFault('store_lost', lost_response_share=0.5),
     StoreFault('store_late', lost_response_share=0.5, delay_lost_writes=True),
     StoreHistoryLoss(),
-    TargetFault('target_silent', _create_setter('unresponsive', setting=True)),
-    TargetFault('target_fails', _create_setter('runs_fail', setting=True)),
-    TargetFault('target_hangs', _create_setter('runs_hang', setting=True)),
-    TargetFault('target_slow', _create_setter('run_time_factor', setting=8)),
-    TargetFault('target_late_orders', _create_setter('unanswered_share', setting=0.5)),
+    TargetFault('target_silent', unresponsive=True),
+    TargetFault('target_fails', runs_fail=True),
+    TargetFault('target_hangs', runs_hang=True),
+    TargetFault('target_slow', run_time_factor=8),
+    TargetFault('target_late_orders', unanswered_share=0.5),
     TargetShutdown('target_crash', WorkerStandIn.crash),
     TargetShutdown('target_drain', WorkerStandIn.drain),
     ConfigChange(),
