Hold starts and stops apart from polls in the soak test

Cause: the soak's only fault of this kind delays commands by 2 to 12 s, so a start always came after its own deadline of 0.8 s.

Change: a second sequence of faults, as frequent as all others together, makes a random target hold half of its starts and stops for 0.3 to 2 s, each by itself. It has a random generator of its own, so that the other faults of a seed stay the same, and it overlaps with all of them.

--- a/libs/endivetally/src/endivetally/soak/faults.py
+++ b/libs/endivetally/src/endivetally/soak/faults.py
@@ -26,6 +26,9 @@
 # How often a settings file changes in a row, and how often the process is told.
 SETTINGS_CHANGES: Final = 5
 HANGUP_SHARE: Final = 0.7
+# Shortest and longest time for which a target holds a command. A start is in time for
+# the first 0.8 s.
+HOLD_RANGE_S: Final = (0.3, 2.0)
 
 
 class Fault(ABC):
@@ -235,7 +238,9 @@
     :param settings: values to set, by attribute.
     """
 
-    def __init__(self, name: str, **settings: float | bool) -> None:
+    def __init__(
+        self, name: str, **settings: float | bool | tuple[float, float]
+    ) -> None:
         self.name = name
         self._settings = settings
 
@@ -375,6 +380,11 @@
 )
 
 
+# Polls and newer commands overtake the commands that are held, each one by itself.
+HELD_COMMANDS: Final = TargetFault(
+    'target_held_orders', unanswered_share=0.5, late_command_delay_s=HOLD_RANGE_S
+)
+
 # Faults of a large deployment, beside those of any other.
 LARGE_FAULTS: Final[tuple[Fault, ...]] = (
     *FAULTS,
--- a/libs/endivetally/src/endivetally/soak/run.py
+++ b/libs/endivetally/src/endivetally/soak/run.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
 
 from endivetally.soak.deployment import SoakDeployment
 from endivetally.soak.faults import FAULTS
+from endivetally.soak.faults import HELD_COMMANDS
 from endivetally.soak.faults import LARGE_FAULTS
 from endivetally.soak.faults import Fault
 from endivetally.soak.guarantees import GuaranteeChecker
@@ -66,7 +68,7 @@
             deployment, checker, random.Random(seed + 1), size.jobs_per_s
         )
         async with traffic:
-            fault_counts = await _inject_faults(deployment, rng, size)
+            fault_counts = await _inject_all_faults(deployment, seed, rng, size)
             await asyncio.sleep(RECOVERY_S)
             recovered_at = get_loop_time()
             await asyncio.sleep(FAULT_FREE_S)
@@ -88,15 +90,35 @@
     await asyncio.gather(*entries, *agents)
 
 
+async def _inject_all_faults(
+    deployment: SoakDeployment, seed: int, rng: random.Random, size: SoakSize
+) -> Counter[str]:
+    """Hold commands at targets beside all other faults, and count both.
+
+    The held commands have a generator of their own, so that the others remain those
+    of the seed.
+    """
+    counts = await asyncio.gather(
+        _inject_faults(deployment, rng, size.faults, size.fault_time_s),
+        _inject_faults(
+            deployment, random.Random(seed + 2), (HELD_COMMANDS,), size.fault_time_s
+        ),
+    )
+    return counts[0] + counts[1]
+
+
 async def _inject_faults(
-    deployment: SoakDeployment, rng: random.Random, size: SoakSize
+    deployment: SoakDeployment,
+    rng: random.Random,
+    faults: Sequence[Fault],
+    duration_s: float,
 ) -> Counter[str]:
     """Start random faults for some time, wait until all are over and count them."""
     fault_counts: Counter[str] = Counter()
-    ends_at = get_loop_time() + size.fault_time_s
+    ends_at = get_loop_time() + duration_s
     injections: list[asyncio.Task[None]] = []
     while get_loop_time() < ends_at:
-        fault = rng.choice(size.faults)
+        fault = rng.choice(faults)
         repetitions = SERIES_LENGTH if rng.random() < REPEATED_SHARE else 1
         fault_counts[fault.name] += repetitions
         injections.append(
