--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -37,6 +37,7 @@
     PROCESS_STOPPED = 'process_stopped'
     PROCESS_PAUSED = 'process_paused'
     SETTINGS_RELOADED = 'settings_reloaded'
+    SETTINGS_UNUSABLE = 'settings_unusable'
     TABLE_UNAVAILABLE = 'table_lost'
     TABLE_AVAILABLE = 'table_regained'
     CHANGE_FEED_RESET = 'history_lost'
