Keep what the end of a run was concluded from when a late stop is accepted

What callers would see: nothing. Operators see `run_reappeared` and its metric, the first sign of a task that runs twice, though nothing is wrong.

Cause: an agent that was frozen, or whose target was unresponsive, ends runs as `lease_over`, for which the later listing of an end is expected. The response to a stop that was under way then set the evidence of the ended run to `absent_after_stop`, for which it is not expected.

Change: `Run.settle` leaves the evidence of an ended run as it is.

--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -96,10 +96,13 @@
     def settle(self, now: float, evidence: EndEvidence) -> None:
         """Record that the run has started, or can't start any more.
 
+        An end that was reported keeps what it was concluded from.
+
         :param evidence: what tells this.
         """
         self.settled_at = now
-        self.evidence = evidence
+        if self.state is not RunState.ENDED:
+            self.evidence = evidence
 
 
 def may_never_have_started(run: Run) -> bool:
--- a/tests/held/test_reappearance.py
+++ b/tests/held/test_reappearance.py
@@ -9,6 +9,7 @@
 from endivetally_held.reappearance import ReappearanceDetector
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
+from endivetally_held.runs import RunState
 from endivetally_policy.held import Resources
 from endivetally_policy.held import RunEnd
 
@@ -68,3 +69,13 @@
     for number in (0, 1):
         recorder.detector.check(TaskKey('j', 0, number), 1, None)
     assert [event['task'] for event in recorder.read_events()] == ['j/0/1']
+
+
+def test_a_stop_accepted_after_the_end_does_not_change_what_it_was_concluded_from():
+    recorder = Recorder()
+    run = ended_run(EndEvidence.LEASE_OVER)
+    run.state = RunState.ENDED
+    recorder.detector.record_end(run)
+    run.settle(recorder.now, EndEvidence.ABSENT_AFTER_STOP)
+    recorder.detector.check(run.task, run.run_number, RunEnd.LEASE_EXPIRED)
+    assert recorder.read_events() == []
