Repeat stops that a target rejects at once no faster than others

What callers would see: nothing directly; a target that answers 503 gets almost three times the stops that were meant, and the log as many order_unanswered lines.

Cause: the stops of a run go out in up to three places, each of which was free again 0.1 s after a rejection. The former code sent the next one 0.1 s after a rejection.

Evidence: test_rejected_stops_are_repeated_no_faster_than_the_retry_interval failed before: 27 stops in a second in place of 10.

Change: a place is free 0.3 s after its stop was sent, or 0.1 s after the response if that is later; for stops without a response nothing changes.

Result: 10 stops in a second; no task is left after the run has ended. tests/held/test_stops.py, test_no_concurrent_runs.py and test_delayed_calls.py pass.

--- a/libs/endivetally-held/src/endivetally_held/stops.py
+++ b/libs/endivetally-held/src/endivetally_held/stops.py
@@ -78,7 +78,9 @@
                 attempt=attempt,
                 **describe_command(run, self._clock() - sent_at),
             )
-            await asyncio.sleep(STOP_RETRY_S)
+            # Stops that are rejected at once are repeated at the same interval.
+            rest_s = sent_at + MAX_OPEN_STOPS * STOP_RETRY_S - self._clock()
+            await asyncio.sleep(max(rest_s, STOP_RETRY_S))
         return response
 
     async def _handle_responses(
