--- a/tests/held/test_no_concurrent_runs.py
+++ b/tests/held/test_no_concurrent_runs.py
@@ -198,6 +198,12 @@
     await leave_job(cluster, job_call)
 
 
+async def kill_entry_behind_cut_link(cluster, job_call):
+    """Kill the entry of a job while the agent can't see its connection end."""
+    cluster.network.partition('entry-0', 'agent-0')
+    await kill_entry(cluster, job_call)
+
+
 async def cut_link(cluster, job_call):
     """Cut the link between the entry and an agent."""
     cluster.network.partition('entry-0', 'agent-0')
@@ -220,7 +226,9 @@
         cluster.resume_all()
 
 
-@pytest.mark.parametrize('lose_job', [leave_job, kill_entry, cut_link])
+@pytest.mark.parametrize(
+    'lose_job', [leave_job, kill_entry, kill_entry_behind_cut_link, cut_link]
+)
 def test_run_whose_stop_is_unanswered_has_ended_before_the_task_runs_elsewhere(
     lose_job,
 ):
