--- a/libs/endivetally-held/src/endivetally_held/lease.py
+++ b/libs/endivetally-held/src/endivetally_held/lease.py
@@ -9,9 +9,6 @@
 # 1.3 s after its connection broke; by then the lease of a lost agent has expired,
 # even on a clock that is 2% slow.
 LEASE_MS: Final = 800
-# The target refuses a start that it receives later than this after it was sent. Longer
-# than the time-out of commands, after which the start counts as unanswered.
-START_VALIDITY_MS: Final = 400
 # Upper bounds on the drift of the target's clock and on its response time.
 CLOCK_DRIFT_FACTOR: Final = 1.05
 RESPONSE_MARGIN_S: Final = 0.1
@@ -59,14 +56,12 @@
         """The fencing token alone, which leaves the lease as it is."""
         return FencedLease(self._token)
 
-    def renew(self, validity_ms: int = LEASE_MS) -> FencedLease:
-        """Return a renewed lease; it counts as renewed even without a response.
-
-        :param validity_ms: time until the lease expires, at most ``LEASE_MS``.
-        """
+    def renew(self) -> FencedLease:
+        """Return a renewed lease; it counts as renewed even without a response."""
         self._expires_at = max(self._expires_at, self._compute_latest_expiry())
-        now_ms = int(self._clock() * 1000 + self._clock_offset_ms)
-        return FencedLease(self._token, now_ms + validity_ms)
+        return FencedLease(
+            self._token, int(self._clock() * 1000 + self._clock_offset_ms) + LEASE_MS
+        )
 
     def estimate_wait_s(self, clock_ms: int) -> float:
         """Return the expected seconds until the target's clock shows a time."""
--- a/libs/endivetally-held/src/endivetally_held/poll_waits.py
+++ b/libs/endivetally-held/src/endivetally_held/poll_waits.py
@@ -9,7 +9,7 @@
 from endivetally_held.runs import may_never_have_started
 
 # Longest wait of a long poll. Three polls fit into one lease, which each of them
-# renews. The lease of an idle target lasts until the poll after the next start.
+# renews. Without runs there is no lease to renew; the start of the next run renews it.
 POLL_WAIT_S: Final = 0.2
 IDLE_POLL_WAIT_S: Final = 0.4
 # A poll that waits for the deadline of a start returns this much later.
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -19,7 +19,6 @@
 from endivetally_held.jobs import TaskKey
 from endivetally_held.lease import CLOCK_DRIFT_FACTOR
 from endivetally_held.lease import LEASE_MS
-from endivetally_held.lease import START_VALIDITY_MS
 from endivetally_held.lease import LeaseTracker
 from endivetally_held.poll_waits import choose_poll_wait
 from endivetally_held.reappearance import ReappearanceDetector
@@ -176,7 +175,7 @@
         run.start_sent_at = self._clock()
         run.progressed_at = run.start_sent_at
         self._runs[run.task] = run
-        lease = self._lease.renew(START_VALIDITY_MS)
+        lease = self._lease.renew()
         run.start_expires_at_ms = lease.expires_at_ms or 0
         self._spawn(self._send_start(run, lease))
         return True
