Let no supervisor start the process of a machine that is being added

Cause: a machine is listed before its process is spawned. If the supervisor looks in between, it starts the process as well, and one of the two fails.

Change: a machine that is being added counts as one whose start is under way.

Only the soak changes.

--- a/libs/endivetally/src/endivetally/soak/deployment.py
+++ b/libs/endivetally/src/endivetally/soak/deployment.py
@@ -92,7 +92,7 @@
     :param not_listening_since: when the process exited; ``None`` once the next one
         listens.
     :param removed: whether the machine was removed for good.
-    :param restarting: whether a restart of the process has begun.
+    :param restarting: whether a start of the process is under way.
     """
 
     name: str
@@ -112,7 +112,7 @@
 
     @property
     def needs_restart(self) -> bool:
-        """Whether its process has exited and no restart has begun."""
+        """Whether its process has exited and no start is under way."""
         return not (self.removed or self.restarting or self.process.alive)
 
     async def start(self) -> None:
@@ -282,8 +282,11 @@
                 self._known_payloads.__contains__,
             )
             await self._exit_stack.enter_async_context(machine.worker)
+        # The supervisor must not start its process a second time.
+        machine.restarting = True
         self.machines.append(machine)
         await machine.start()
+        machine.restarting = False
         return machine
 
     async def remove_machine(self, machine: Machine) -> None:
