Log the runs that a target's crash interrupts

Cause: after a crash an agent reported its runs as lapsed with the lease, as after a cut or a pause, and did not connect them with the next instance. The logs could not tell the hypotheses of the incident apart. Change: the event target_crash names the runs and their ages when a target refuses connections right after an answer, and again when another instance or the same one answers. Decisions stay as they are.

--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -49,6 +49,7 @@
 from endivetally_held.target_client import TargetClient
 from endivetally_held.target_client import TargetReport
 from endivetally_held.target_client import TargetSessionLost
+from endivetally_held.target_crashes import CrashDetector
 from endivetally_held.unconfirmed_runs import UnconfirmedRuns
 from endivetally_held.unconfirmed_runs import find_expired_runs
 from endivetally_held.unconfirmed_runs import may_start_elsewhere
@@ -92,6 +93,7 @@
         for one that is not connected, whose runs are being stopped.
     :param history: what is known of the target's instances.
     :param unconfirmed: runs of earlier sessions that may still start.
+    :param crashes: detects the crash of the instance.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         measure_silence: Callable[[str], float] | None = None,
         history: InstanceHistory | None = None,
         unconfirmed: UnconfirmedRuns | None = None,
+        crashes: CrashDetector | None = None,
     ) -> None:
         self.report = report
         self.health = TargetHealth()
@@ -130,6 +133,7 @@
         )
         self._runs: dict[TaskKey, Run] = {}
         self._reappearances = ReappearanceDetector(events, clock)
+        self._crashes = crashes or CrashDetector(report.target_id, report.pool, events)
         self._stops = StopSender(target, self._lease, events, clock, self.lose)
         self._last_end_sequence = 0
         self._failed_polls = 0
@@ -181,6 +185,8 @@
         if self._closed:
             return
         self._closed = True
+        if leaving:
+            self._crashes.expect_end()
         reason = 'other_target' if target_ended else 'fenced'
         self._events.emit(
             Event.TARGET_LEFT,
@@ -261,6 +267,10 @@
         :param target_ended: whether the instance has ended.
         """
         instance = self.report.instance
+        if target_ended and not self.report.draining:
+            self._crashes.record_end(
+                self._runs.values(), self._clock(), self._lease.last_response_age_s
+            )
         self._history.record_token(instance, self._lease.without_renewal.fencing_token)
         startable = [
             run for run in self._runs.values() if may_start_elsewhere(run, instance)
@@ -340,6 +350,7 @@
             if self._failed_polls > 1:
                 self._listener.capacity_changed()
             self._failed_polls = 0
+            self._crashes.record_answer()
             await asyncio.sleep(self._poll_pause_s)
 
     async def _poll(self) -> PollResult:
@@ -399,6 +410,13 @@
         self._failed_polls += 1
         if not isinstance(error, PollFailed):
             report_unexpected_error(self._events, error)
+        if not self.report.draining:
+            self._crashes.record_failed_poll(
+                self._runs.values(),
+                self._clock(),
+                self._lease.last_response_age_s,
+                refused=isinstance(error, PollFailed) and error.refused,
+            )
         if self._failed_polls == 2:
             self._events.emit(
                 Event.TARGET_UNRESPONSIVE,
--- a/libs/endivetally-held/src/endivetally_held/target_client.py
+++ b/libs/endivetally-held/src/endivetally_held/target_client.py
@@ -154,7 +154,14 @@
 
 
 class PollFailed(Exception):
-    """A poll got no usable response."""
+    """A poll got no usable response.
+
+    :param refused: whether no process accepted the connection.
+    """
+
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class TargetSessionLost(Exception):
--- /dev/null
+++ b/libs/endivetally-held/src/endivetally_held/target_crashes.py
@@ -0,0 +1,158 @@
+"""Crashes of a target, and the runs that were active when it went away."""
+
+import enum
+import itertools
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import replace
+
+from endivetally_core.events import Event
+from endivetally_core.events import EventLog
+
+from endivetally_held.jobs import TaskKey
+from endivetally_held.lease import LEASE_MS
+from endivetally_held.runs import Run
+
+
+class CrashState(enum.StrEnum):
+    """How certain it is that a target has crashed.
+
+    ``SUSPECTED``: it refuses connections right after it has answered.
+    ``CONFIRMED``: another instance has taken its place, and it had not announced its
+    end. ``DISMISSED``: the same instance has answered again.
+    """
+
+    SUSPECTED = 'suspected'
+    CONFIRMED = 'confirmed'
+    DISMISSED = 'dismissed'
+
+
+@dataclass(frozen=True, slots=True)
+class InterruptedRun:
+    """A run that was active, or may have been, when its target went away.
+
+    :param age_s: seconds since the start command was sent.
+    """
+
+    task: TaskKey
+    run_number: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCrash:
+    """A crash of a target, certain or not.
+
+    :param number: identifies the crash at this agent.
+    :param crashed_at: monotonic time in seconds of the first poll that failed.
+    """
+
+    number: int
+    pool: str
+    crashed_at: float
+    state: CrashState
+    runs: tuple[InterruptedRun, ...]
+
+
+class CrashDetector:
+    """Tells the crash of one instance of a target from a silence.
+
+    A target that is cut off, paused or slow doesn't answer; one that has crashed
+    refuses connections. Only another instance in its place proves the crash.
+
+    :param pool: pool of the target.
+    :param numbers: provides the numbers of the crashes.
+    :param report: called with each crash, and again when its state changes.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        pool: str,
+        events: EventLog,
+        numbers: Iterator[int] | None = None,
+        report: Callable[[TargetCrash], None] | None = None,
+    ) -> None:
+        self._target_id = target_id
+        self._pool = pool
+        self._events = events
+        self._numbers = numbers or itertools.count(1)
+        self._report = report
+        self._crash: TargetCrash | None = None
+        # Time of the first failed poll since the target has answered.
+        self._contact_lost_at: float | None = None
+        self._expects_end = False
+
+    def expect_end(self) -> None:
+        """Record that the instance has announced its end, which is no crash."""
+        self._expects_end = True
+
+    def record_answer(self) -> None:
+        """Record that this instance has answered a poll."""
+        self._contact_lost_at = None
+        if self._crash is not None:
+            self._emit(replace(self._crash, state=CrashState.DISMISSED))
+            self._crash = None
+
+    def record_failed_poll(
+        self, runs: Iterable[Run], now: float, silent_s: float, *, refused: bool
+    ) -> None:
+        """Record that a poll failed; the runs have not been reported as ended yet.
+
+        :param now: monotonic time in seconds.
+        :param silent_s: seconds since the last answer. After the lease is over the
+            runs may have ended before the crash.
+        :param refused: whether no process accepted the connection.
+        """
+        if self._contact_lost_at is None:
+            self._contact_lost_at = now
+        if refused and self._crash is None and silent_s < LEASE_MS / 1000:
+            self._open_crash(CrashState.SUSPECTED, runs, self._contact_lost_at)
+
+    def record_end(self, runs: Iterable[Run], now: float, silent_s: float) -> None:
+        """Record that another instance is in the target's place.
+
+        The instance had not announced its end.
+
+        :param runs: those that have not been reported as ended.
+        :param now: monotonic time in seconds.
+        :param silent_s: seconds since the last answer.
+        """
+        if self._crash is not None:
+            self._emit(replace(self._crash, state=CrashState.CONFIRMED))
+            self._crash = None
+        elif silent_s < LEASE_MS / 1000:
+            crashed_at = now if self._contact_lost_at is None else self._contact_lost_at
+            self._open_crash(CrashState.CONFIRMED, runs, crashed_at)
+
+    def _open_crash(
+        self, state: CrashState, runs: Iterable[Run], crashed_at: float
+    ) -> None:
+        if self._expects_end:
+            return
+        interrupted = tuple(
+            InterruptedRun(run.task, run.run_number, crashed_at - run.start_sent_at)
+            for run in runs
+            if run.start_sent_at <= crashed_at
+        )
+        if not interrupted:
+            return
+        number = next(self._numbers)
+        self._crash = TargetCrash(number, self._pool, crashed_at, state, interrupted)
+        self._emit(self._crash)
+
+    def _emit(self, crash: TargetCrash) -> None:
+        self._events.emit(
+            Event.TARGET_CRASH,
+            target=self._target_id,
+            number=crash.number,
+            state=crash.state.value,
+            runs=[
+                f'{run.task} {run.run_number} {int(run.age_s * 1000)}ms'
+                for run in crash.runs
+            ],
+        )
+        if self._report is not None:
+            self._report(crash)
--- a/libs/endivetally-standins/src/endivetally_standins/held_target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/held_target.py
@@ -312,7 +312,7 @@
 
     def _check_presence(self) -> None:
         if self.has_ended and self.restarts:
-            raise PollFailed('connection lost')
+            raise PollFailed('connection refused', refused=True)
         if self.has_ended:
             raise TargetSessionLost(target_ended=True)
 
