--- a/libs/endivetally-standins/src/endivetally_standins/held_target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/held_target.py
@@ -32,6 +32,8 @@
 CLOCK_START_MS = 100_000
 # Shortest and longest delay after which an unanswered command is carried out.
 LATE_COMMAND_DELAY_S = (2.0, 12.0)
+# Time from the start of a task that crashes its target to the crash.
+CRASH_DELAY_S = 0.03
 
 
 @dataclass(slots=True)
@@ -101,6 +103,8 @@
     :param get_run_time_s: returns the run time of a task, in seconds.
     :param get_resources: returns the resources that a task needs.
     :param task_fails: returns whether a task fails at every target.
+    :param crashes_target: returns whether a task crashes every target that starts it.
+    :param crash_target: crashes a target, and starts another instance later.
     :param runs: all runs in the order of their starts.
     :param violations: concurrent runs of one task, and targets whose runs exceeded
         their capacity.
@@ -111,6 +115,8 @@
     get_run_time_s: Callable[[TaskKey], float]
     get_resources: Callable[[TaskKey], Resources]
     task_fails: Callable[[TaskKey], bool] = lambda task: False
+    crashes_target: Callable[[TaskKey], bool] = lambda task: False
+    crash_target: Callable[['HeldTargetStandIn'], None] = lambda target: target.crash()
     runs: list[RecordedRun] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     targets: list['HeldTargetStandIn'] = field(default_factory=list)
@@ -373,6 +379,8 @@
             run_state.end_timer = self._call_later(
                 run_time_s, self._end_run, run_state, end
             )
+        if self._history.crashes_target(task):
+            self._call_later(CRASH_DELAY_S, self._history.crash_target, self)
         self._check_capacity()
         return CommandResult.ACCEPTED
 
--- a/tests/held/cluster.py
+++ b/tests/held/cluster.py
@@ -27,6 +27,7 @@
 LATENCY_S = 0.0015
 # Unix time at which each test starts.
 START_MS = 1_700_000_000_000
+CRASH_DOWN_S = 3
 CAPACITY = Resources(16_000, 32_768)
 NEED = Resources(1600, 64)
 SERVICE = Service(
@@ -190,6 +191,8 @@
             return run_times_s[task]
 
         self.run_history = RunHistory(run_time_s, lambda task: NEED)
+        self.run_history.crash_target = self.crash_target
+        self.crashes = []
         self.capacity = capacity
         self.sends_born = sends_born
         self.services = services
@@ -254,6 +257,28 @@
         self.client_factory.targets[present.report.target_id] = present
         return former
 
+    def crash_target(self, target, down_s=CRASH_DOWN_S):
+        """Crash a target; another instance takes its place after some seconds."""
+        if target.has_ended:
+            return
+        name = next(name for name, each in self.targets.items() if each is target)
+        self.crashes.append((self.loop.time(), name))
+        target.crash(restarts=True)
+        node_context(Suspension()).run(
+            self.loop.create_task, self.replace_target(name, target, down_s)
+        )
+
+    async def replace_target(self, name, former, down_s):
+        await asyncio.sleep(down_s)
+        if self.targets[name] is not former:
+            return
+        if self.sends_born:
+            target_id = former.report.target_id
+            self.targets[name] = former.create_next_instance(self.unix_time_ms)
+            self.client_factory.targets[target_id] = self.targets[name]
+        else:
+            await self.create_target(name)
+
     def start_agent(self, name):
         node = self._node(name)
         self.instance_count += 1
