Follow the capacity that a target reports while it runs

Cause: TargetSession built its reservations from the first report of an instance; later reports only changed draining, kind and cold. A target that shrank was filled up to its former size (LIMIT), one that grew was never filled, and waiting tasks that fit no more stayed in the backlog. Change: ResourceReservations.resize, applied with each newer report. Runs that exceed a smaller capacity go on and hold it until they have ended, also while they are being stopped, so free capacity may be below zero. Waiting runs that don't fit any more are refused at once and run elsewhere. The new event target_capacity shows the change. Stops of strays move to StopSender.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -59,6 +59,7 @@
     TARGET_LEFT = 'target_left'
     TARGET_UNRESPONSIVE = 'target_silent'
     TARGET_CRASH = 'target_crash'
+    TARGET_CAPACITY_CHANGED = 'target_capacity'
     TARGET_HEALTH_CHANGED = 'target_standing'
     REPORT_IGNORED = 'report_ignored'
     REPORT_FIELD_IGNORED = 'report_field_ignored'
--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -138,12 +138,13 @@
             self._open_session(report)
             return True
         starts_draining = report.draining and not session.report.draining
-        former_kind = (session.report.kind, session.report.cold)
-        session.report = report
+        former = (session.report.kind, session.report.cold, session.report.capacity)
+        session.apply_report(report)
         if starts_draining:
             self._events.emit(Event.TARGET_DRAINING, target=report.target_id)
             self._refuse_backlog()
-        if starts_draining or is_first or former_kind != (report.kind, report.cold):
+        current = (report.kind, report.cold, report.capacity)
+        if starts_draining or is_first or former != current:
             self.capacity_changed()
         return True
 
@@ -352,8 +353,13 @@
         if session is None or not session.accepting or self.evacuation.in_force:
             self._refuse_backlog()
             return
-        limit_cpu = session.reservations.capacity.cpu * MAX_BACKLOG_SHARE
-        for run in self._backlog.remove_excess(limit_cpu if session.may_start() else 0):
+        capacity = session.reservations.capacity
+        excess = self._backlog.remove_matching(
+            lambda run: not capacity.covers(run.need)
+        )
+        limit_cpu = capacity.cpu * MAX_BACKLOG_SHARE if session.may_start() else 0
+        excess += self._backlog.remove_excess(limit_cpu)
+        for run in excess:
             self._refuse_run(run, RunEnd.REFUSED_NO_CAPACITY)
 
     def _refuse_backlog(self) -> None:
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -88,7 +88,7 @@
 class TargetSession:
     """Runs tasks at one instance of a target and renews their lease.
 
-    :param report: first report of the instance; later ones replace the attribute.
+    :param report: first report of the instance; `apply_report` replaces it.
     :param measure_silence: returns the seconds since the last message of an entry; 0
         for one that is not connected, whose runs are being stopped.
     :param history: what is known of the target's instances.
@@ -165,6 +165,25 @@
         """Return whether a run of a task was started here and has not ended."""
         return task in self._runs
 
+    def apply_report(self, report: TargetReport) -> None:
+        """Apply a newer report, whose capacity may have changed.
+
+        Runs that exceed a smaller capacity go on, and hold it until they have ended.
+        """
+        self.report = report
+        former = self.reservations.capacity
+        if report.capacity != former:
+            self.reservations.resize(report.capacity)
+            self._events.emit(
+                Event.TARGET_CAPACITY_CHANGED,
+                target=report.target_id,
+                cpu=report.capacity.cpu,
+                memory_mb=report.capacity.memory_mb,
+                former_cpu=former.cpu,
+                former_memory_mb=former.memory_mb,
+                free_cpu=self.reservations.free.cpu,
+            )
+
     def start_polling(self) -> None:
         """Start polling the target in the background."""
         self._spawn(self._poll_repeatedly())
@@ -504,7 +523,7 @@
         if run is None or run.run_number != active.run_number:
             # Started by an earlier process of this agent, or by a delayed command.
             self._reappearances.check(active.task, active.run_number, None)
-            self._spawn(self._stop_orphan(active))
+            self._spawn(self._stops.stop_stray(active))
             return
         run.observed = True
         run.listed = True
@@ -530,17 +549,6 @@
             self._report_health()
         self.stop_run(run, RunEnd.STALLED)
 
-    async def _stop_orphan(self, active: ActiveRun) -> None:
-        self._events.emit(
-            Event.RUN_STOPPED,
-            task=str(active.task),
-            run=active.run_number,
-            reason='stray',
-        )
-        await self._target.stop_run(
-            active.task, active.run_number, self._lease.without_renewal
-        )
-
     def _report_health(self) -> None:
         self._events.emit(
             Event.TARGET_HEALTH_CHANGED,
--- a/libs/endivetally-held/src/endivetally_held/stops.py
+++ b/libs/endivetally-held/src/endivetally_held/stops.py
@@ -14,6 +14,7 @@
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
 from endivetally_held.runs import describe_command
+from endivetally_held.target_client import ActiveRun
 from endivetally_held.target_client import CommandResponse
 from endivetally_held.target_client import CommandResult
 from endivetally_held.target_client import TargetClient
@@ -66,6 +67,18 @@
                 if await self._handle_responses(answered, run, attempt, first_sent_at):
                     return
 
+    async def stop_stray(self, active: ActiveRun) -> None:
+        """Send one stop of a run that the target lists and no entry waits for."""
+        self._events.emit(
+            Event.RUN_STOPPED,
+            task=str(active.task),
+            run=active.run_number,
+            reason='stray',
+        )
+        await self._target.stop_run(
+            active.task, active.run_number, self._lease.without_renewal
+        )
+
     async def _send(self, run: Run, attempt: int) -> CommandResponse:
         sent_at = self._clock()
         response = await self._target.stop_run(
--- a/libs/endivetally-policy/src/endivetally_policy/held/resources.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/resources.py
@@ -42,7 +42,7 @@
     released only when the target has reported the end of the run or can no
     longer carry out the command.
 
-    :param capacity: all resources of the target.
+    :param capacity: all resources of the target, until it changes.
     """
 
     def __init__(self, capacity: Resources) -> None:
@@ -66,6 +66,19 @@
         self.free = self.free.minus(need)
         return True
 
+    def resize(self, capacity: Resources) -> None:
+        """Change the capacity; less than nothing is free if more is reserved.
+
+        >>> node = ResourceReservations(Resources(2000, 512))
+        >>> node.reserve('a', Resources(1600, 64))
+        True
+        >>> node.resize(Resources(1000, 512))
+        >>> node.free.cpu
+        -600
+        """
+        self.free = self.free.plus(capacity.minus(self.capacity))
+        self.capacity = capacity
+
     def release(self, holder: Hashable) -> None:
         """Release the resources of a holder; does nothing if it has none."""
         need = self._reserved.pop(holder, None)
