Give up tasks that crash their targets, and bound how many they take down

A task with a longer deadline is started 12 to 38 times. Cause: the end of a run that is lost with its target is nobody's fault, so it is retried on another target without a limit. The agent that sees the crash and the entry that counts ends don't share what they know, and the count ends with the entry. Change: agents tell all entries of crashes, with the runs that were active and their ages, and tell later entries again. Entries attribute each crash by age and by the tasks that crashes have in common. Suspects run apart on a quarter of the targets; a task is given up after two confirmed crashes that it has probably caused, or three; lapses and silences don't count. A service whose tasks crash too many targets keeps to that quarter for 10 s.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -65,6 +65,8 @@
     REPORT_FIELD_IGNORED = 'report_field_ignored'
     RATE_CHANGED = 'rate_changed'
     READINESS_CHANGED = 'readiness_changed'
+    CRASH_ASSESSED = 'crash_assessed'
+    SERVICE_CONFINED = 'service_confined'
     JOB_RECEIVED = 'job_received'
     JOB_REFUSED = 'job_refused'
     JOB_DISPLACED = 'job_displaced'
--- a/libs/endivetally-held/src/endivetally_held/admission.py
+++ b/libs/endivetally-held/src/endivetally_held/admission.py
@@ -20,6 +20,7 @@
 from endivetally_policy.held.admission import ReturnWindow
 
 from endivetally_held.agent_connections import AgentConnections
+from endivetally_held.containment import CrashContainment
 from endivetally_held.jobs import JobResponse
 from endivetally_held.jobs import JobResult
 from endivetally_held.open_job import OpenJob
@@ -61,6 +62,7 @@
     :param connections: provide the load of the agents.
     :param rng: spreads the retries of refused callers.
     :param competition: tells which services compete, and learns their work.
+    :param containment: tells which services are confined to few targets.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         events: EventLog,
         rng: random.Random,
         competition: Competition,
+        containment: CrashContainment,
     ) -> None:
         self._connections = connections
+        self._containment = containment
         self._events = events
         self._random = rng
         self._controller = HeldAdmissionPolicy()
@@ -234,12 +238,17 @@
         )
 
     def _measure_load(self, open_job: OpenJob, others: Iterable[OpenJob]) -> Load:
-        peers = self._connections.find_accepting_peers(open_job.service.target_pool)
-        same_pool = [
-            other
-            for other in others
-            if other.service.target_pool == open_job.service.target_pool
-        ]
+        pool = open_job.service.target_pool
+        peers = self._connections.find_accepting_peers(pool)
+        same_pool = [other for other in others if other.service.target_pool == pool]
+        if self._containment.is_confined(open_job.service.name):
+            targets = self._containment.find_targets(pool)
+            peers = [peer for peer in peers if peer.name in targets]
+            same_pool = [
+                other
+                for other in same_pool
+                if self._containment.is_confined(other.service.name)
+            ]
         arriving = open_job.order
         ahead = [
             other.waiting_work
--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -48,6 +48,7 @@
 from endivetally_held.target_client import FencedLease
 from endivetally_held.target_client import TargetClientFactory
 from endivetally_held.target_client import TargetReport
+from endivetally_held.target_crashes import CrashReporter
 from endivetally_held.unconfirmed_runs import UnconfirmedRuns
 
 # Changed states are sent to the entries at this interval; an entry whose run has ended
@@ -83,6 +84,7 @@
         self._clock = clock
         self._session: TargetSession | None = None
         self._unconfirmed = UnconfirmedRuns(self.run_ended, events, clock)
+        self._crash_reporter = CrashReporter(self.entry_server, events, clock)
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._checks = InstanceChecks(self._client_factory)
         self._backlog = Backlog()
@@ -205,6 +207,7 @@
     def entry_connected(self, peer: EntryPeer) -> None:
         """Send the state of the target to a new entry."""
         self._state_reporter.send_state(peer)
+        self._crash_reporter.send_known(peer)
         self._state_reporter.mark_changed()
 
     def message_received(self, peer: EntryPeer, message: AnyHeldMessage) -> None:
@@ -280,6 +283,7 @@
             self.entry_server.measure_silence,
             self._history,
             self._unconfirmed,
+            self._crash_reporter.create_detector(report),
         )
         self._session.start_polling()
 
@@ -314,6 +318,8 @@
                 rank=message.rank,
                 job_started=message.started,
                 rate=message.rate,
+                service=message.service,
+                suspect=message.suspect,
             )
             refusal = self._find_refusal(request, message.need)
             if refusal is None:
--- a/libs/endivetally-held/src/endivetally_held/agent_connections.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_connections.py
@@ -16,6 +16,7 @@
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 from endivetally_core.joining import Address
+from endivetally_policy.held import SUSPECT_INTERVAL_S
 from endivetally_policy.held import AgentLoad
 from endivetally_policy.held import KindRate
 from endivetally_policy.held import RateChangeDetector
@@ -37,6 +38,7 @@
 from endivetally_held.messages import RunRequest
 from endivetally_held.messages import StartRuns
 from endivetally_held.messages import StopRuns
+from endivetally_held.messages import TargetCrashed
 from endivetally_held.messages import TargetState
 
 # Connecting to another data centre of the region takes some milliseconds; a machine
@@ -76,6 +78,11 @@
         # Rate by which the agent judges run times.
         self.judged_rate = 1.0
         self.active_tasks: dict[TaskKey, int] = {}
+        # Pool and time of the last crash of the target; the pool is empty if none.
+        self.crashed_pool = ''
+        self.crashed_at: float = 0
+        self._suspect: TaskKey | None = None
+        self._suspect_sent_at: float = 0
         self.load = AgentLoad(
             hello.agent, hello.data_centre, NO_RESOURCES, NO_RESOURCES, 0, 1.0, False
         )
@@ -84,6 +91,22 @@
         # last received state does not include.
         self._in_flight: deque[tuple[int, int, Resources]] = deque()
 
+    def has_begun_suspect(self, now: float) -> bool:
+        """Return whether a suspect was sent that may still crash the target.
+
+        :param now: monotonic time in seconds.
+        """
+        since = now - SUSPECT_INTERVAL_S
+        return self._suspect in self.active_tasks and self._suspect_sent_at > since
+
+    def record_suspect(self, task: TaskKey, now: float) -> None:
+        """Record that a suspect is sent.
+
+        :param now: monotonic time in seconds.
+        """
+        self._suspect = task
+        self._suspect_sent_at = now
+
     def apply_state(self, state: TargetState) -> bool:
         """Apply a state; return whether the pool or the acceptance of tasks changed."""
         before = (self.pool, self.load.accepting)
@@ -125,6 +148,8 @@
         rank: float = 0,
         *,
         started: bool = False,
+        service: str = '',
+        suspect: bool = False,
     ) -> None:
         """Request runs of tasks of one job, after `reserve` was called for each.
 
@@ -133,6 +158,8 @@
         :param expires_in_s: seconds until the agent must refuse to start the runs.
         :param rank: rank of the job; 0 where services do not compete.
         :param started: whether the job has started, where services compete.
+        :param service: name of the service of the job.
+        :param suspect: whether the runs may crash the target.
         """
         self._sequence += 1
         self._in_flight.append((self._sequence, len(runs), need))
@@ -151,6 +178,8 @@
                 rank,
                 started,
                 self.judged_rate,
+                service,
+                suspect,
             )
         )
 
@@ -175,6 +204,10 @@
     def run_ended(self, peer: AgentPeer, ended: RunEnded) -> None:
         """Handle the end of a run."""
 
+    @abstractmethod
+    def target_crashed(self, peer: AgentPeer, message: TargetCrashed) -> None:
+        """Handle a crash of an agent's target, or a new state of it."""
+
     @abstractmethod
     def agent_disconnected(self, peer: AgentPeer) -> None:
         """Handle the end of a connection; the agent's runs end in bounded time."""
@@ -372,6 +405,8 @@
             elif isinstance(message, RunEnded):
                 peer.record_end(message)
                 self._listener.run_ended(peer, message)
+            elif isinstance(message, TargetCrashed):
+                self._listener.target_crashed(peer, message)
 
     def remove_peer(self, peer: AgentPeer, reason: str) -> None:
         """Remove an agent whose connection has ended."""
--- a/libs/endivetally-held/src/endivetally_held/dispatcher.py
+++ b/libs/endivetally-held/src/endivetally_held/dispatcher.py
@@ -5,16 +5,19 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from functools import cached_property
 
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 from endivetally_policy.held import Competition
+from endivetally_policy.held import CrashVerdict
 from endivetally_policy.held import choose_agent
 from endivetally_policy.held import find_suitable_rate
 from endivetally_policy.held import queue_key
 
 from endivetally_held.agent_connections import AgentConnections
 from endivetally_held.agent_connections import AgentPeer
+from endivetally_held.containment import CrashContainment
 from endivetally_held.ending_runs import EndingRuns
 from endivetally_held.messages import RunRequest
 from endivetally_held.open_job import HeldTask
@@ -26,15 +29,49 @@
     """Agents of a pool that may receive tasks in one scheduling pass.
 
     :param peers: agents of the pool that accept work.
+    :param containment: chooses the agents for suspects and confined services.
+    :param now: monotonic time in seconds.
     """
 
-    def __init__(self, peers: list[AgentPeer]) -> None:
+    def __init__(
+        self,
+        pool: str,
+        peers: list[AgentPeer],
+        containment: CrashContainment,
+        now: float,
+    ) -> None:
         self.peers = {peer.name: peer for peer in peers}
         self.loads = [peer.load for peer in peers]
+        self._pool = pool
+        self._containment = containment
+        self._now = now
         # Smallest need, in thousandths of a core, that no agent could take in this
         # pass. Tasks that need as much or more are not tried.
         self.unplaceable_cpu = math.inf
 
+    @cached_property
+    def confined(self) -> list[str]:
+        """Agents for suspects and confined services, those that accept no work too."""
+        return self._containment.find_targets(self._pool)
+
+    @cached_property
+    def avoided(self) -> frozenset[str]:
+        """Agents that other tasks use only if there is no other one."""
+        if not self._containment.active:
+            return frozenset()
+        if self._containment.has_confined_services(self._pool):
+            return frozenset(self.confined)
+        return self._running_suspects
+
+    def find_quarantine(self) -> AgentPeer | None:
+        """Return the agent for the next suspect, or none while suspects must wait."""
+        quarantine = (
+            self.peers[name]
+            for name in self.confined
+            if name in self.peers and not self.peers[name].has_begun_suspect(self._now)
+        )
+        return next(quarantine, None)
+
     def place_tasks(
         self, open_job: OpenJob, tasks: list[HeldTask], data_centre: str, now: float
     ) -> Iterator[tuple[AgentPeer, HeldTask]]:
@@ -48,22 +85,40 @@
             expected_run_s = open_job.expected_run_s(task)
             left_s = open_job.end_by(task) - now
             suitable_rate = find_suitable_rate(expected_run_s, left_s)
-            peer = self._choose(task, data_centre, suitable_rate)
+            confined = self._containment.is_confined(open_job.service.name)
+            peer = self._choose(task, data_centre, suitable_rate, confined=confined)
             if peer is not None:
                 peer.reserve(task.step.need)
                 yield peer, task
+            elif confined:
+                return
             elif not task.required_agent:
                 self.unplaceable_cpu = task.step.need.cpu
                 return
 
+    @property
+    def _running_suspects(self) -> frozenset[str]:
+        return frozenset(
+            peer.name
+            for peer in self.peers.values()
+            if peer.has_begun_suspect(self._now)
+        )
+
     def _choose(
-        self, task: HeldTask, data_centre: str, suitable_rate: float
+        self, task: HeldTask, data_centre: str, suitable_rate: float, *, confined: bool
     ) -> AgentPeer | None:
         loads = self.loads
         if task.required_agent:
             loads = [load for load in loads if load.name == task.required_agent]
+        elif confined:
+            loads = [load for load in loads if load.name in self.confined]
+        avoided = self._running_suspects if confined else self.avoided
         chosen = choose_agent(
-            loads, task.step.need, data_centre, task.avoided_agents, suitable_rate
+            loads,
+            task.step.need,
+            data_centre,
+            task.avoided_agents | avoided if avoided else task.avoided_agents,
+            suitable_rate,
         )
         return None if chosen is None else self.peers[chosen.name]
 
@@ -74,6 +129,7 @@
     :param open_jobs: open jobs by their identifiers; the owner changes the mapping.
     :param ending_runs: runs of closed jobs, beside which their tasks must not run.
     :param competition: learns the started work of each service.
+    :param containment: knows the tasks that may crash their targets.
     """
 
     def __init__(
@@ -85,6 +141,7 @@
         events: EventLog,
         clock: Callable[[], float],
         competition: Competition,
+        containment: CrashContainment,
     ) -> None:
         self._open_jobs = open_jobs
         self._ending_runs = ending_runs
@@ -93,6 +150,7 @@
         self._events = events
         self._clock = clock
         self._competition = competition
+        self._containment = containment
         self._is_scheduled = False
 
     def schedule_dispatch(self) -> None:
@@ -117,6 +175,7 @@
         self._is_scheduled = False
         now = self._clock()
         candidates_by_pool: dict[str, _PoolCandidates] = {}
+        suspects: list[tuple[OpenJob, HeldTask]] = []
         waiting = [each for each in self._open_jobs.values() if each.waiting_count]
         waiting.sort(key=lambda open_job: queue_key(open_job.waiting_job, now))
         for open_job in waiting:
@@ -124,10 +183,13 @@
             if ready and now < open_job.deadline_at:
                 pool = open_job.service.target_pool
                 if pool not in candidates_by_pool:
+                    peers = self._connections.find_accepting_peers(pool)
                     candidates_by_pool[pool] = _PoolCandidates(
-                        self._connections.find_accepting_peers(pool)
+                        pool, peers, self._containment, now
                     )
-                self._dispatch_job(open_job, ready, candidates_by_pool[pool])
+                clear = self._remove_suspects(open_job, ready, suspects)
+                self._dispatch_job(open_job, clear, candidates_by_pool[pool])
+        self._dispatch_suspects(suspects, candidates_by_pool)
 
     def _find_ready_tasks(self, open_job: OpenJob, now: float) -> list[HeldTask]:
         ready = open_job.find_ready_tasks(now)
@@ -135,6 +197,48 @@
             return ready
         return [task for task in ready if task.key not in self._ending_runs]
 
+    def _remove_suspects(
+        self,
+        open_job: OpenJob,
+        ready: list[HeldTask],
+        suspects: list[tuple[OpenJob, HeldTask]],
+    ) -> list[HeldTask]:
+        """Return the tasks that no crash is attributed to; add suspects to a list.
+
+        Those that have probably crashed their targets remain waiting.
+        """
+        if not self._containment.active:
+            return ready
+        clear = []
+        for task in ready:
+            verdict = self._containment.find_verdict(task.key)
+            if verdict is CrashVerdict.CLEAR:
+                clear.append(task)
+            elif verdict is CrashVerdict.SUSPECT:
+                suspects.append((open_job, task))
+        return clear
+
+    def _dispatch_suspects(
+        self,
+        suspects: list[tuple[OpenJob, HeldTask]],
+        candidates_by_pool: Mapping[str, _PoolCandidates],
+    ) -> None:
+        """Send suspects one by one, those that are probably innocent first."""
+        suspects.sort(key=lambda suspect: self._containment.get_guilt(suspect[1].key))
+        for open_job, task in suspects:
+            if self._ask_closed(open_job, task):
+                continue
+            candidates = candidates_by_pool[open_job.service.target_pool]
+            peer = candidates.peers.get(task.required_agent)
+            if not task.required_agent:
+                peer = candidates.find_quarantine()
+            if peer is not None and peer.load.capacity.covers(task.step.need):
+                peer.reserve(task.step.need)
+                peer.record_suspect(task.key, self._clock())
+                self._send_tasks(
+                    open_job, peer, [task], started=open_job.has_started, suspect=True
+                )
+
     def _dispatch_job(
         self, open_job: OpenJob, ready: list[HeldTask], candidates: '_PoolCandidates'
     ) -> None:
@@ -147,7 +251,8 @@
         for peer, placed in placements:
             batches.setdefault((peer.name, placed.key.step), []).append(placed)
         for batch, tasks in batches.items():
-            self._send_tasks(open_job, candidates.peers[batch[0]], tasks, started)
+            agent = candidates.peers[batch[0]]
+            self._send_tasks(open_job, agent, tasks, started=started)
 
     def _ask_closed(self, open_job: OpenJob, task: HeldTask) -> bool:
         """Ask the agent that a task must wait for, if it accepts no runs.
@@ -168,7 +273,9 @@
         open_job: OpenJob,
         peer: AgentPeer,
         tasks: list[HeldTask],
+        *,
         started: bool,
+        suspect: bool = False,
     ) -> None:
         now = self._clock()
         first = tasks[0]
@@ -186,6 +293,8 @@
             open_job.deadline_at - now,
             open_job.rank or 0,
             started=started,
+            service=open_job.service.name,
+            suspect=suspect,
         )
         self._events.emit(
             Event.TASK_SENT,
@@ -196,4 +305,5 @@
             free_cpu=peer.load.free.cpu,
             backlog_cpu=peer.load.backlog_cpu,
             heard_ms_ago=int((now - peer.channel.last_received_at) * 1000),
+            suspect=suspect,
         )
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -34,6 +34,7 @@
 from endivetally_held.agent_connections import Connect
 from endivetally_held.channel import HEARTBEAT_CHECK_S
 from endivetally_held.channel import MESSAGE_AGE_LIMIT_S
+from endivetally_held.containment import CrashContainment
 from endivetally_held.dispatcher import TaskDispatcher
 from endivetally_held.ending_runs import EndingRuns
 from endivetally_held.guard import run_guarded
@@ -41,6 +42,7 @@
 from endivetally_held.jobs import JobResponse
 from endivetally_held.jobs import JobResult
 from endivetally_held.messages import RunEnded
+from endivetally_held.messages import TargetCrashed
 from endivetally_held.metrics import EntryMetrics
 from endivetally_held.open_job import HeldTask
 from endivetally_held.open_job import OpenJob
@@ -67,6 +69,9 @@
 # Ended jobs whose run numbers are remembered: 20 s at 100 jobs a second. A resent job
 # arrives within a few seconds of the end of the first copy.
 REMEMBERED_JOBS: Final = 2000
+# Reasons of failed jobs.
+ATTEMPTS_USED: Final = 'attempts_used'
+CRASHES_TARGETS: Final = 'crashes_targets'
 
 
 class HeldEntry(AgentListener):
@@ -93,6 +98,7 @@
         self.connections = AgentConnections(
             incarnation, data_centre, self, events, clock, connect, cold_overage
         )
+        self.containment = CrashContainment(self.connections, events, clock)
         self._services: dict[str, Service] = {}
         self._events = events
         self._metrics = metrics
@@ -100,7 +106,11 @@
         self._random = random.Random(seed)
         self._competition = Competition()
         self._admission = JobAdmissionController(
-            self.connections, events, self._random, self._competition
+            self.connections,
+            events,
+            self._random,
+            self._competition,
+            self.containment,
         )
         self._pause_detector = PauseDetector(clock=clock)
         self._run_time_predictor = RunTimePredictor()
@@ -114,6 +124,7 @@
             events,
             clock,
             self._competition,
+            self.containment,
         )
         self._next_run_numbers: dict[str, int] = {}
         self._drain_until: float | None = None
@@ -157,6 +168,7 @@
             CompetingService(service.name, service.target_pool, service.priority)
             for service in config.config.services
         )
+        self.containment.apply_services(config.config.services)
         self._events.emit(
             Event.CONFIG_APPLIED,
             version=config.version,
@@ -200,6 +212,10 @@
             )
             others = list(self._open_jobs.values())
             self._metrics.count_job(open_job, 'offered')
+            if self.containment.find_guilty(open_job.tasks) is not None:
+                failure = JobResponse(JobResult.FAILED, CRASHES_TARGETS)
+                self._metrics.count_response(open_job, failure, 0)
+                return failure
             result = self._admission.decide(open_job, others, self._drain_time_left_s)
             if result.refusal is not None:
                 self._metrics.count_job(open_job, 'refused', result.refusal.reason)
@@ -209,6 +225,7 @@
             for each in result.displaced:
                 self._metrics.count_job(each.open_job, 'displaced', 'overloaded')
                 self._respond(each.open_job, each.response)
+            open_job.has_former_run = self.containment.knows(open_job.tasks)
             self._assign_run_numbers(open_job)
             self._open_jobs[job.identifier] = open_job
             self._dispatcher.schedule_dispatch()
@@ -231,6 +248,19 @@
         if is_current and task.agent == peer.name:
             self._handle_run_end(open_job, task, ended.end, ended.run_ms / 1000)
 
+    def target_crashed(self, peer: AgentPeer, message: TargetCrashed) -> None:
+        """Give up the jobs whose tasks have crashed their targets."""
+        self.containment.record_crash(peer, message)
+        job_ids = {row.task.job for row in message.runs}
+        for job_id in job_ids:
+            open_job = self._open_jobs.get(job_id)
+            if open_job is None:
+                continue
+            open_job.has_former_run = True
+            if self.containment.find_guilty(open_job.tasks) is not None:
+                self._fail_job(open_job, CRASHES_TARGETS)
+        self._dispatcher.schedule_dispatch()
+
     def agent_disconnected(self, peer: AgentPeer) -> None:
         """Requeue the agent's tasks, to run elsewhere once the old runs have ended."""
         for key in peer.active_tasks:
@@ -311,6 +341,7 @@
         action = next_action(end)
         if action is NextAction.FINISH:
             open_job.record_done(task)
+            self.containment.record_done(task.key)
             declared_s = task.step.estimate_s
             self._run_time_predictor.observe(
                 open_job.service.name, declared_s, run_s, task.rate
@@ -336,7 +367,7 @@
             run_ms=int(run_s * 1000),
         )
         if task.failure_count >= open_job.service.attempts:
-            self._fail_job(open_job)
+            self._fail_job(open_job, ATTEMPTS_USED)
         else:
             self._dispatcher.schedule_dispatch()
 
@@ -353,9 +384,9 @@
         if action is not NextAction.RETRY_SOON:
             task.avoided_agents.add(task.agent)
 
-    def _fail_job(self, open_job: OpenJob) -> None:
+    def _fail_job(self, open_job: OpenJob, reason: str) -> None:
         self._dispatcher.stop_job(open_job)
-        self._respond(open_job, JobResponse(JobResult.FAILED, 'attempts_used'))
+        self._respond(open_job, JobResponse(JobResult.FAILED, reason))
 
     def _give_up_job(
         self, open_job: OpenJob, reason: str, retry_after_s: int = 0
@@ -425,6 +456,7 @@
                     self._events,
                     self.connections.send_heartbeats,
                     self._ending_runs.remove_expired,
+                    self.containment.update,
                 )
             run_guarded(self._events, self._dispatcher.schedule_dispatch)
 
@@ -442,10 +474,6 @@
             self._reported_unready_reason = reason
             self._readiness_changed_at = self._clock()
 
-    def _find_wait_reason(self, open_job: OpenJob) -> str:
-        peers = self.connections.find_accepting_peers(open_job.service.target_pool)
-        return 'overloaded' if peers else 'no_target'
-
     def _end_overdue_jobs(self) -> None:
         now = self._clock()
         open_jobs = list(self._open_jobs.values())
@@ -454,12 +482,25 @@
         for open_job in open_jobs:
             if now >= open_job.deadline_at - RESPONSE_TIME_S:
                 self._give_up_job(open_job, 'deadline')
-            elif should_give_up(open_job.waiting_job, now):
-                self._give_up_job(open_job, self._find_wait_reason(open_job))
+            elif _is_too_late(open_job, now, self.containment):
+                self._give_up_job(
+                    open_job, _find_wait_reason(self.connections, open_job)
+                )
             elif _has_no_target(open_job, emptied_pools):
                 self._give_up_job(open_job, 'no_target', NO_TARGET_RETRY_S)
 
 
+def _is_too_late(open_job: OpenJob, now: float, containment: CrashContainment) -> bool:
+    # A task that is held may be given up later, and then its job has failed.
+    late = should_give_up(open_job.waiting_job, now)
+    return late and not containment.holds(open_job.tasks)
+
+
+def _find_wait_reason(connections: AgentConnections, open_job: OpenJob) -> str:
+    peers = connections.find_accepting_peers(open_job.service.target_pool)
+    return 'overloaded' if peers else 'no_target'
+
+
 def _has_no_target(open_job: OpenJob, emptied_pools: Container[str]) -> bool:
     """Return whether no task has run and all targets are in emptied data centres."""
     return not open_job.may_have_run and open_job.service.target_pool in emptied_pools
--- a/libs/endivetally-held/src/endivetally_held/messages.py
+++ b/libs/endivetally-held/src/endivetally_held/messages.py
@@ -12,6 +12,7 @@
 from endivetally_policy.held import Resources
 from endivetally_policy.held import RunEnd
 
+from endivetally_held.crash_state import CrashState
 from endivetally_held.jobs import TaskKey
 
 MAX_BATCH_BYTES: Final = 4 * 1024 * 1024
@@ -67,6 +68,9 @@
         services compete.
     :param rate: rate by which stalls and slow runs are judged: that of the target's
         kind, so that a target that becomes slow is not excused by its own rate.
+    :param service: name of the service of the job.
+    :param suspect: whether the runs may crash the target, so that it starts them apart
+        from each other.
     """
 
     sequence: SequenceNumber
@@ -79,6 +83,8 @@
     rank: float = 0
     started: bool = False
     rate: Rate = 1.0
+    service: str = ''
+    suspect: bool = False
 
 
 class StopRuns(Message, frozen=True, tag='stop'):
@@ -129,6 +135,35 @@
     cold: bool = False
 
 
+class CrashedRunRow(msgspec.Struct, frozen=True, array_like=True):
+    """A run that was active when its target crashed.
+
+    :param age_ms: time from the start command to the crash.
+    """
+
+    task: TaskKey
+    run_number: Count
+    service: str
+    age_ms: Count
+
+
+class TargetCrashed(Message, frozen=True, tag='crash'):
+    """Agent to all entries: a crash of its target, sent again when its state changes.
+
+    An entry that connects later gets the crashes of the last minutes.
+
+    :param number: identifies the crash at this agent.
+    :param pool: pool of the target.
+    :param crashed_ms_ago: time since the crash.
+    """
+
+    number: SequenceNumber
+    pool: str
+    state: CrashState
+    crashed_ms_ago: Count
+    runs: list[CrashedRunRow]
+
+
 class Evacuations(Message, frozen=True, tag='evacuations'):
     """Entry to agent: the emptied data centres, right after the hello and when changed.
 
@@ -152,6 +187,7 @@
     | StopRuns
     | RunEnded
     | TargetState
+    | TargetCrashed
     | Evacuations
     | Alive
 )
--- a/libs/endivetally-held/src/endivetally_held/metrics.py
+++ b/libs/endivetally-held/src/endivetally_held/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of held jobs."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 from typing import Final
@@ -42,6 +43,11 @@
     '1 while the process keeps tasks from a data centre because it is emptied.',
     ('data_centre',),
 )
+CONFINED: Final = MetricDefinition(
+    'endivetally_held_confined',
+    '1 while a service is confined to few targets because its tasks crash them.',
+    ('service',),
+)
 EVENTS: Final = MetricDefinition(
     'endivetally_events_total', 'Events, written or not.', ('event',)
 )
@@ -119,6 +125,18 @@
     )
 
 
+def add_confinement_gauge(
+    metrics: Metrics, list_confined: Callable[[], Iterable[str]]
+) -> None:
+    """Expose the services that are confined.
+
+    :param list_confined: returns their names.
+    """
+    metrics.add_gauge(
+        CONFINED, lambda: [Sample(1, (service,)) for service in list_confined()]
+    )
+
+
 def add_rate_gauges(metrics: Metrics, connections: 'AgentConnections') -> None:
     """Expose the rate of each kind of targets and the runs that it is based on."""
     metrics.add_gauge(
--- a/libs/endivetally-held/src/endivetally_held/open_job.py
+++ b/libs/endivetally-held/src/endivetally_held/open_job.py
@@ -81,7 +81,8 @@
         self.waiter_count = 0
         # Runs that may have started: sent to an agent and not refused since.
         self.possible_run_count = 0
-        # Whether an agent has refused a task because an earlier run of it is there.
+        # Whether an agent has refused a task because an earlier run of it is there, or
+        # a target has crashed under one.
         self.has_former_run = False
         self._expected_run_s = [
             predictor.predict(service.name, step.estimate_s) for step in job.steps
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from endivetally_policy.held import SLOW_LOG_ODDS
+from endivetally_policy.held import SUSPECT_INTERVAL_S
 from endivetally_policy.held import Resources
 from endivetally_policy.held import RunEnd
 from endivetally_policy.held import slow_log_odds
@@ -89,6 +90,8 @@
     :param rank: position among the waiting runs, before the latest start; 0 where
         services do not compete.
     :param job_started: whether another task of the job has started before.
+    :param service: name of the service of the job.
+    :param suspect: whether the run may crash the target.
     """
 
     task: TaskKey
@@ -113,6 +116,8 @@
     rank: float = 0
     job_started: bool = False
     rate: float = 1.0
+    service: str = ''
+    suspect: bool = False
 
     @property
     def expected_here_s(self) -> float:
@@ -170,6 +175,12 @@
             run.observed = True
 
 
+def began_suspect(runs: Iterable[Run], now: float) -> bool:
+    """Return whether one of the runs may still crash the target, so no other begins."""
+    since = now - SUSPECT_INTERVAL_S
+    return any(run.suspect and run.start_sent_at > since for run in runs)
+
+
 def is_stop_overdue(run: Run, now: float, *, entry_silent: bool = False) -> bool:
     """Return whether the lease of a run must expire for the run to end in time.
 
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -33,6 +33,7 @@
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
+from endivetally_held.runs import began_suspect
 from endivetally_held.runs import describe_command
 from endivetally_held.runs import find_slow_runs
 from endivetally_held.runs import is_stalled
@@ -232,6 +233,8 @@
             and self._measure_silence(run.entry) <= ENTRY_SILENCE_LIMIT_S
             and self._find_unrenewable_run() is None
         )
+        if run.suspect and began_suspect(self._runs.values(), self._clock()):
+            return False
         if not may_start or not self.reservations.reserve(run.task, run.need):
             return False
         run.state = RunState.STARTING
--- a/libs/endivetally-held/src/endivetally_held/target_crashes.py
+++ b/libs/endivetally-held/src/endivetally_held/target_crashes.py
@@ -1,32 +1,33 @@
 """Crashes of a target, and the runs that were active when it went away."""
 
-import enum
 import itertools
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import replace
+from typing import Final
 
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 
+from endivetally_held.crash_state import CrashState
+from endivetally_held.entry_server import EntryPeer
+from endivetally_held.entry_server import EntryServer
 from endivetally_held.jobs import TaskKey
 from endivetally_held.lease import LEASE_MS
+from endivetally_held.messages import MAX_COUNT
+from endivetally_held.messages import CrashedRunRow
+from endivetally_held.messages import TargetCrashed
 from endivetally_held.runs import Run
+from endivetally_held.target_client import TargetReport
 
-
-class CrashState(enum.StrEnum):
-    """How certain it is that a target has crashed.
-
-    ``SUSPECTED``: it refuses connections right after it has answered.
-    ``CONFIRMED``: another instance has taken its place, and it had not announced its
-    end. ``DISMISSED``: the same instance has answered again.
-    """
-
-    SUSPECTED = 'suspected'
-    CONFIRMED = 'confirmed'
-    DISMISSED = 'dismissed'
+# Crashes that an agent tells entries that connect later. A caller resends its job for
+# less than a minute, and a target that crashes is back after some seconds.
+REMEMBERED_CRASHES: Final = 16
+RETENTION_S: Final = 300.0
+# Bounds the message; the runs that were started last are the ones in question.
+MAX_REPORTED_RUNS: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
 
     task: TaskKey
     run_number: int
+    service: str
     age_s: float
 
 
@@ -133,7 +135,9 @@
         if self._expects_end:
             return
         interrupted = tuple(
-            InterruptedRun(run.task, run.run_number, crashed_at - run.start_sent_at)
+            InterruptedRun(
+                run.task, run.run_number, run.service, crashed_at - run.start_sent_at
+            )
             for run in runs
             if run.start_sent_at <= crashed_at
         )
@@ -156,3 +160,64 @@
         )
         if self._report is not None:
             self._report(crash)
+
+
+class CrashReporter:
+    """Tells all entries of the crashes of one agent's target.
+
+    The crashes outlive the entries whose runs they ended, so that the entry to which a
+    caller resends its job counts them.
+
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        entry_server: EntryServer,
+        events: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._entry_server = entry_server
+        self._events = events
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._crashes: dict[int, TargetCrash] = {}
+
+    def create_detector(self, report: TargetReport) -> CrashDetector:
+        """Return the detector for a session with an instance of the target."""
+        return CrashDetector(
+            report.target_id, report.pool, self._events, self._numbers, self._record
+        )
+
+    def send_known(self, peer: EntryPeer) -> None:
+        """Send the crashes of the last minutes to an entry that has connected."""
+        since = self._clock() - RETENTION_S
+        for crash in self._crashes.values():
+            if crash.crashed_at >= since:
+                peer.channel.post(self._describe(crash))
+
+    def _record(self, crash: TargetCrash) -> None:
+        if crash.state is CrashState.DISMISSED:
+            self._crashes.pop(crash.number, None)
+        else:
+            self._crashes[crash.number] = crash
+        if len(self._crashes) > REMEMBERED_CRASHES:
+            self._crashes.pop(next(iter(self._crashes)))
+        message = self._describe(crash)
+        for peer in self._entry_server:
+            peer.channel.post(message)
+
+    def _describe(self, crash: TargetCrash) -> TargetCrashed:
+        newest = sorted(crash.runs, key=lambda run: run.age_s)[:MAX_REPORTED_RUNS]
+        rows = [
+            CrashedRunRow(
+                run.task, run.run_number, run.service, _to_milliseconds(run.age_s)
+            )
+            for run in newest
+        ]
+        age_ms = _to_milliseconds(self._clock() - crash.crashed_at)
+        return TargetCrashed(crash.number, crash.pool, crash.state, age_ms, rows)
+
+
+def _to_milliseconds(seconds: float) -> int:
+    return min(max(int(seconds * 1000), 0), MAX_COUNT)
--- a/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/__init__.py
@@ -9,6 +9,12 @@
 from endivetally_policy.held.admission import Load
 from endivetally_policy.held.admission import ReturnWindow
 from endivetally_policy.held.admission import Work
+from endivetally_policy.held.crashes import SUSPECT_INTERVAL_S
+from endivetally_policy.held.crashes import Crash
+from endivetally_policy.held.crashes import CrashedRun
+from endivetally_policy.held.crashes import CrashHistory
+from endivetally_policy.held.crashes import CrashVerdict
+from endivetally_policy.held.crashes import choose_confinement
 from endivetally_policy.held.health import TargetHealth
 from endivetally_policy.held.overload import CompetingService
 from endivetally_policy.held.overload import Competition
@@ -36,9 +42,14 @@
 
 __all__ = (
     'SLOW_LOG_ODDS',
+    'SUSPECT_INTERVAL_S',
     'AgentLoad',
     'CompetingService',
     'Competition',
+    'Crash',
+    'CrashHistory',
+    'CrashVerdict',
+    'CrashedRun',
     'RunTimePredictor',
     'HeldAdmissionPolicy',
     'KindRate',
@@ -57,6 +68,7 @@
     'WaitingJob',
     'Work',
     'choose_agent',
+    'choose_confinement',
     'find_displaced',
     'find_suitable_rate',
     'pool_rates',
--- a/tests/held/test_agent_connections.py
+++ b/tests/held/test_agent_connections.py
@@ -32,6 +32,9 @@
     def run_ended(self, peer, ended):
         """Ignore the end."""
 
+    def target_crashed(self, peer, message):
+        """Ignore the crash."""
+
     def agent_disconnected(self, peer):
         self.lost.extend(peer.active_tasks)
 
--- a/tests/held/test_crashing_tasks.py
+++ b/tests/held/test_crashing_tasks.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
+from held.cluster import SERVICE
 from held.cluster import Cluster
 from held.cluster import job
 
@@ -12,6 +14,7 @@
 # under it.
 MAX_STARTS = 5
 RESEND_S = 1.3
+OTHER = msgspec.structs.replace(SERVICE, name='other')
 CRASHING_JOB = job('bad', 1, timeout_s=40)
 
 
@@ -85,3 +88,93 @@
         assert response.result is JobResult.FAILED
 
     run_scenario(scenario)
+
+
+def test_job_that_entries_know_to_crash_targets_fails_without_another_start():
+    async def scenario(cluster):
+        await cluster.submit('entry-0', CRASHING_JOB)
+        starts = count_starts(cluster)
+        for entry in cluster.entry_names:
+            assert (await cluster.submit(entry, CRASHING_JOB)).result is (
+                JobResult.FAILED
+            )
+        # An entry that has started since learns of the crashes from the agents.
+        cluster.nodes['entry-1'].kill()
+        await asyncio.sleep(1)
+        cluster.start_entry('entry-1')
+        await asyncio.sleep(1)
+        response = await cluster.submit('entry-1', CRASHING_JOB)
+        assert response.result is JobResult.FAILED
+        assert count_starts(cluster) == starts
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('silent_s', [1.5, 3])
+def test_task_of_targets_that_fall_silent_is_not_given_up(silent_s):
+    # Guards against a limit on lapses, which gives up sound work for a partition.
+    async def scenario(cluster):
+        submitted = asyncio.ensure_future(
+            cluster.submit('entry-0', job('a', 1, timeout_s=60, estimate_s=4))
+        )
+        for _ in range(MAX_STARTS):
+            await asyncio.sleep(0.3)
+            target_id = cluster.run_history.runs[-1].target
+            faults = cluster.client_factory.targets[target_id].faults
+            faults.unresponsive = True
+            await asyncio.sleep(silent_s)
+            faults.unresponsive = False
+        assert (await submitted).result is JobResult.COMPLETED
+        assert len(cluster.run_history.runs) > MAX_STARTS
+
+    run_scenario(scenario, run_s=4)
+
+
+async def submit_periodically(cluster, prefix, count, period_s, **options):
+    """Submit jobs at random entries; return their responses in order."""
+    submitted = []
+    for number in range(count):
+        entry = cluster.random.choice(cluster.entry_names)
+        submitted.append(
+            asyncio.ensure_future(
+                cluster.submit(entry, job(f'{prefix}-{number}', **options))
+            )
+        )
+        await asyncio.sleep(period_s)
+    return await asyncio.gather(*submitted)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_jobs_beside_crashing_tasks_are_not_given_up(seed):
+    async def scenario(cluster):
+        crashing = asyncio.ensure_future(
+            submit_periodically(cluster, 'bad', 3, 2, timeout_s=12)
+        )
+        responses = await submit_periodically(cluster, 'a', 60, 0.1, timeout_s=8)
+        assert all(each.result is not JobResult.FAILED for each in responses)
+        assert sum(each.result is JobResult.COMPLETED for each in responses) >= 54
+        await crashing
+
+    run_scenario(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_service_that_crashes_targets_keeps_to_a_quarter_of_them(seed):
+    # Guards against a kind of request that takes down target after target, until other
+    # kinds have none.
+    async def scenario(cluster):
+        began_at = cluster.loop.time()
+        crashing = asyncio.ensure_future(
+            submit_periodically(cluster, 'bad', 20, 0.5, timeout_s=6)
+        )
+        # The first suspects run again once the lease of their first runs is over.
+        await asyncio.sleep(2.5)
+        responses = await submit_periodically(
+            cluster, 'a', 70, 0.1, timeout_s=4, service='other'
+        )
+        assert all(each.result is JobResult.COMPLETED for each in responses)
+        await crashing
+        later = {name for at, name in cluster.crashes if at > began_at + 2.5}
+        assert len(later) <= 2
+
+    run_scenario(scenario, seed=seed, services=(SERVICE, OTHER))
