Let the soak test crash targets by tasks and change their capacity

Cause: the soak test knew neither tasks that crash each target that starts them nor targets that shrink and grow while they run. Change: one job in 150 has such a task; a fault changes the capacity of a target, which the stand-in checks 4.5 s later (contactMs and one report). Jobs and other faults of a seed stay the same.

--- a/libs/endivetally-standins/src/endivetally_standins/held_target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/held_target.py
@@ -32,6 +32,8 @@
 CLOCK_START_MS = 100_000
 # Shortest and longest delay after which an unanswered command is carried out.
 LATE_COMMAND_DELAY_S = (2.0, 12.0)
+# A smaller capacity holds for starts after `contactMs` and one report of the platform.
+CAPACITY_GRACE_S = 4.5
 # Time from the start of a task that crashes its target to the crash.
 CRASH_DELAY_S = 0.03
 
@@ -187,6 +189,8 @@
         self._unacknowledged_ends: list[EndedRun] = []
         self._end_count = 0
         self._run_has_ended = asyncio.Event()
+        # Times until which starts may fill former capacities.
+        self._former_capacities: list[tuple[float, Resources]] = []
         history.targets.append(self)
 
     @property
@@ -207,6 +211,15 @@
         )
         return self.report
 
+    def change_capacity(self, capacity: Resources) -> None:
+        """Change the capacity, which the next report tells.
+
+        For some seconds starts may still fill the former one.
+        """
+        until = self._loop.time() + CAPACITY_GRACE_S
+        self._former_capacities.append((until, self.report.capacity))
+        self.report = replace(self.report, capacity=capacity)
+
     def create_next_instance(
         self, born_ms: int, clock_start_ms: int = CLOCK_START_MS
     ) -> 'HeldTargetStandIn':
@@ -436,9 +449,21 @@
         used = Resources(0, 0)
         for task in self._active_runs:
             used = used.plus(self._history.get_resources(task))
-        if not self.report.capacity.covers(used):
+        if not self._find_checked_capacity().covers(used):
             self._history.violations.append(f'over capacity: {used}')
 
+    def _find_checked_capacity(self) -> Resources:
+        """Return the largest capacity of the last seconds."""
+        capacity = self.report.capacity
+        self._former_capacities = [
+            each for each in self._former_capacities if each[0] > self._loop.time()
+        ]
+        for _, former in self._former_capacities:
+            capacity = Resources(
+                max(capacity.cpu, former.cpu), max(capacity.memory_mb, former.memory_mb)
+            )
+        return capacity
+
     def _create_poll_result(self) -> PollResult:
         now = self._loop.time()
         running = tuple(
--- a/libs/endivetally/src/endivetally/soak/deployment.py
+++ b/libs/endivetally/src/endivetally/soak/deployment.py
@@ -186,7 +186,10 @@
         self.rng = rng
         self.jobs: dict[str, JobSpec] = {}
         self.run_history = RunHistory(
-            self._get_run_time_s, self._get_task_resources, self._does_task_fail
+            self._get_run_time_s,
+            self._get_task_resources,
+            self._does_task_fail,
+            self._crashes_target,
         )
         self.store = StoreStandIn(seed=rng.randrange(2**32))
         self.machines: list[Machine] = []
@@ -383,6 +386,9 @@
     def _does_task_fail(self, task: TaskKey) -> bool:
         return self.jobs[task.job].tasks_fail
 
+    def _crashes_target(self, task: TaskKey) -> bool:
+        return self.jobs[task.job].crashes_targets and task.number == 0
+
     async def _supervise(self) -> None:
         """Restart processes that have exited, as the platform does."""
         while True:
--- a/libs/endivetally/src/endivetally/soak/guarantees.py
+++ b/libs/endivetally/src/endivetally/soak/guarantees.py
@@ -22,6 +22,11 @@
 # Time within which a terminated process exits or is killed: its grace period and a
 # margin.
 MAX_SHUTDOWN_S: Final = SHUTDOWN_GRACE_S + 3
+# A task may be given up after this many targets have crashed under it.
+MIN_CRASHES: Final = 2
+# It must not be started this often after three of them have.
+MAX_CRASHES: Final = 3
+MAX_LATER_STARTS: Final = 3
 # Minimum share of the requests after the last fault that must be completed.
 MIN_RECOVERED_SHARE: Final = 0.25
 
@@ -84,6 +89,7 @@
         return [
             *self.violations,
             *run_after_refusal,
+            *self._find_repeated_crashes(),
             *self.deployment.collect_violations(),
         ]
 
@@ -100,7 +106,7 @@
             return 'answer that makes no sense'
         if result is CallResult.COMPLETED and not self._all_tasks_done(call.job):
             return 'completed, but a task was not done'
-        if result is CallResult.FAILED and not self._attempts_exhausted(call.job):
+        if result is CallResult.FAILED and not self._may_be_given_up(call.job):
             return 'failed with attempts left'
         if result is CallResult.UNANSWERED and self._response_was_due(call):
             return 'no answer'
@@ -115,17 +121,33 @@
             for task in _list_task_keys(job)
         )
 
-    def _attempts_exhausted(self, job: JobSpec) -> bool:
-        """Return whether one of the tasks has failed in all its attempts."""
+    def _may_be_given_up(self, job: JobSpec) -> bool:
+        """Return whether a task has failed in all its attempts, or crashed targets."""
         attempts = SERVICES[0].attempts
-        return any(
-            sum(
-                run.end is RunEnd.FAILED
-                for run in self.deployment.run_history.get_runs(task)
-            )
-            >= attempts
-            for task in _list_task_keys(job)
-        )
+        for task in _list_task_keys(job):
+            ends = [run.end for run in self.deployment.run_history.get_runs(task)]
+            if ends.count(RunEnd.FAILED) >= attempts:
+                return True
+            if ends.count(RunEnd.LOST) >= MIN_CRASHES:
+                return True
+        return False
+
+    def _find_repeated_crashes(self) -> list[str]:
+        """Find tasks that were started again and again though they crash targets."""
+        violations = []
+        for job in self.deployment.jobs.values():
+            runs = self.deployment.run_history.get_runs(TaskKey(job.identifier, 0, 0))
+            crashes = [run.ended_at or 0 for run in runs if run.end is RunEnd.LOST]
+            if not job.crashes_targets or len(crashes) < MAX_CRASHES:
+                continue
+            since = sorted(crashes)[MAX_CRASHES - 1]
+            later = sum(run.started_at > since for run in runs)
+            if later >= MAX_LATER_STARTS:
+                violations.append(
+                    f'started {later} times after {MAX_CRASHES} targets had crashed:'
+                    f' job {job.identifier}'
+                )
+        return violations
 
     def _response_was_due(self, call: Call) -> bool:
         """Return whether no fault explains that a call had no response."""
--- a/libs/endivetally/src/endivetally/soak/run.py
+++ b/libs/endivetally/src/endivetally/soak/run.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Final
 
+from endivetally.soak.capacity_change import CapacityChange
 from endivetally.soak.deployment import SoakDeployment
 from endivetally.soak.evacuation import Evacuation
 from endivetally.soak.faults import FAULTS
@@ -97,10 +98,10 @@
 async def _inject_all_faults(
     deployment: SoakDeployment, seed: int, rng: random.Random, size: SoakSize
 ) -> Counter[str]:
-    """Hold commands, restart targets and empty data centres beside the other faults.
+    """Inject the faults of a size, and those of targets and data centres beside them.
 
-    These three have generators of their own, so that the others remain those of the
-    seed. Return the number of each fault.
+    Each of the latter has a generator of its own, so that the others remain those of
+    the seed. Return the number of each fault.
     """
     counts = await asyncio.gather(
         _inject_faults(deployment, rng, size.faults, size.fault_time_s),
@@ -117,6 +118,9 @@
             size.fault_time_s,
             EVACUATION_INTERVAL_S,
         ),
+        _inject_faults(
+            deployment, random.Random(seed + 5), (CapacityChange(),), size.fault_time_s
+        ),
     )
     return sum(counts, start=Counter())
 
--- a/libs/endivetally/src/endivetally/soak/traffic.py
+++ b/libs/endivetally/src/endivetally/soak/traffic.py
@@ -41,6 +41,8 @@
 ABANDON_AFTER_RANGE_S: Final = (0.02, 0.8)
 # Share of the jobs whose tasks fail at every target.
 FAILING_SHARE: Final = 0.02
+# One in so many jobs has a task that crashes its targets.
+CRASHING_INTERVAL: Final = 150
 # Share of the jobs whose request is sent once more after its response, and how many
 # seconds later.
 DUPLICATED_SHARE: Final = 0.03
@@ -97,8 +99,9 @@
         drawn = self._rng.choices(JOB_KINDS, shares)
         service, max_tasks, typical_s, _ = drawn[0]
         run_time_s = typical_s * self._rng.uniform(0.7, 1.4)
+        identifier = self._rng.getrandbits(64)
         return JobSpec(
-            identifier=f'{self._rng.getrandbits(64):016x}',
+            identifier=f'{identifier:016x}',
             service=service,
             task_count=self._rng.randint(1, max_tasks),
             task_resources=TASK_RESOURCES,
@@ -106,6 +109,8 @@
             estimate_s=run_time_s * self._rng.lognormvariate(0, ESTIMATE_LOG_STD),
             deadline_s=DEADLINE_S,
             tasks_fail=self._rng.random() < FAILING_SHARE,
+            # Not drawn, so that the jobs remain those of the seed.
+            crashes_targets=identifier % CRASHING_INTERVAL == 0,
         )
 
     async def _send_job(self, job: JobSpec) -> None:
