Keep tasks that probably have not crashed targets out of the confined ones

Cause: a task that had been in two crashes counted as a suspect whatever its part in them. It ran on the confined targets, beside the service that crashes them, and was there at the third crash, after which every task was given up. Change: suspects have a probability of at least 0.1 to have caused their crashes; without it a task is given up after four crashes, not three. The rule allows two starts after the third. The policy test follows a guilty task over MAX_CRASHES crashes, below the five that the rule allows.

--- a/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
@@ -18,10 +18,10 @@
 # Seconds added to the age of each run at a crash. A task is as likely to crash its
 # target in the first hundredth of a second as between the first tenth and a second.
 AGE_OFFSET_S: Final = 0.01
-# A task to which this share of a crash is attributed is a suspect, if its run had begun
-# at most this time before. Most crashes have other causes, and an older run has shown
-# for longer that it is sound; a second crash makes any task a suspect.
-SUSPECT_SHARE: Final = 0.1
+# A task that has caused its crashes with this probability is a suspect, after a single
+# crash only if its run had begun at most this time before. Most crashes have other
+# causes, and an older run has shown for longer that it is sound.
+SUSPECT_PROBABILITY: Final = 0.1
 SUSPECT_AGE_S: Final = 0.25
 # Time between the starts of two suspects at one target, so that a crash tells which of
 # them has caused it.
@@ -36,9 +36,10 @@
 MIN_CRASHES: Final = 2
 # Probability from which a task is held to have caused the crashes.
 GUILTY_PROBABILITY: Final = 0.9
-# After this many crashes a task is given up whether or not it has caused them: the
-# users' limit is two further starts.
-MAX_CRASHES: Final = 3
+# After this many crashes a task is given up whether or not it has caused them. The
+# users' limit is two further starts after three crashes; one of them may be a start
+# whose crash no agent has seen.
+MAX_CRASHES: Final = 4
 # Bounds the memory; a caller resends its job for less than a minute.
 REMEMBERED_CRASHES: Final = 1024
 RETENTION_S: Final = 300.0
@@ -246,11 +247,11 @@
             return CrashVerdict.GUILTY
         if is_guilty(presences.values()):
             return CrashVerdict.HELD
-        is_suspect = len(presences) > 1 or any(
-            presence.share >= SUSPECT_SHARE and presence.age_s <= SUSPECT_AGE_S
-            for presence in presences.values()
-        )
-        return CrashVerdict.SUSPECT if is_suspect else CrashVerdict.CLEAR
+        known = list(presences.values())
+        may_be_guilty = estimate_guilt(known) >= SUSPECT_PROBABILITY
+        if may_be_guilty and (len(known) > 1 or known[0].age_s <= SUSPECT_AGE_S):
+            return CrashVerdict.SUSPECT
+        return CrashVerdict.CLEAR
 
     def confine_if_excessive(
         self, crash_id: Hashable, target_limit: int, now: float
