Log the answer to a job that is known to crash targets, and forget released services

Cause: found when reading the change. A job that failed on arrival left no line in the log, so its identifier led nowhere; names of services that are no longer confined were kept; a task that must wait for a certain agent held up the others of its job while its service is confined. The first is seen by operators only. Change: such a job is answered like any other, with job_answered; released names are removed; tasks with a required agent are passed over as before. Names of the checks for recent suspects are the same at entry and agent.

--- a/libs/endivetally-held/src/endivetally_held/agent_connections.py
+++ b/libs/endivetally-held/src/endivetally_held/agent_connections.py
@@ -91,7 +91,7 @@
         # last received state does not include.
         self._in_flight: deque[tuple[int, int, Resources]] = deque()
 
-    def has_begun_suspect(self, now: float) -> bool:
+    def has_recent_suspect(self, now: float) -> bool:
         """Return whether a suspect was sent that may still crash the target.
 
         :param now: monotonic time in seconds.
--- a/libs/endivetally-held/src/endivetally_held/dispatcher.py
+++ b/libs/endivetally-held/src/endivetally_held/dispatcher.py
@@ -68,7 +68,7 @@
         quarantine = (
             self.peers[name]
             for name in self.confined
-            if name in self.peers and not self.peers[name].has_begun_suspect(self._now)
+            if name in self.peers and not self.peers[name].has_recent_suspect(self._now)
         )
         return next(quarantine, None)
 
@@ -79,21 +79,20 @@
 
         Tasks that must wait for a certain agent don't hold up the others.
         """
+        confined = self._containment.is_confined(open_job.service.name)
         for task in tasks:
             if task.step.need.cpu >= self.unplaceable_cpu:
                 return
             expected_run_s = open_job.expected_run_s(task)
             left_s = open_job.end_by(task) - now
             suitable_rate = find_suitable_rate(expected_run_s, left_s)
-            confined = self._containment.is_confined(open_job.service.name)
             peer = self._choose(task, data_centre, suitable_rate, confined=confined)
             if peer is not None:
                 peer.reserve(task.step.need)
                 yield peer, task
-            elif confined:
-                return
             elif not task.required_agent:
-                self.unplaceable_cpu = task.step.need.cpu
+                if not confined:
+                    self.unplaceable_cpu = task.step.need.cpu
                 return
 
     @property
@@ -101,7 +100,7 @@
         return frozenset(
             peer.name
             for peer in self.peers.values()
-            if peer.has_begun_suspect(self._now)
+            if peer.has_recent_suspect(self._now)
         )
 
     def _choose(
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -213,9 +213,9 @@
             others = list(self._open_jobs.values())
             self._metrics.count_job(open_job, 'offered')
             if self.containment.find_guilty(open_job.tasks) is not None:
-                failure = JobResponse(JobResult.FAILED, CRASHES_TARGETS)
-                self._metrics.count_response(open_job, failure, 0)
-                return failure
+                self._assign_run_numbers(open_job)
+                self._respond(open_job, JobResponse(JobResult.FAILED, CRASHES_TARGETS))
+                return open_job.response.result()
             result = self._admission.decide(open_job, others, self._drain_time_left_s)
             if result.refusal is not None:
                 self._metrics.count_job(open_job, 'refused', result.refusal.reason)
--- a/libs/endivetally-held/src/endivetally_held/runs.py
+++ b/libs/endivetally-held/src/endivetally_held/runs.py
@@ -175,7 +175,7 @@
             run.observed = True
 
 
-def began_suspect(runs: Iterable[Run], now: float) -> bool:
+def has_recent_suspect(runs: Iterable[Run], now: float) -> bool:
     """Return whether one of the runs may still crash the target, so no other begins."""
     since = now - SUSPECT_INTERVAL_S
     return any(run.suspect and run.start_sent_at > since for run in runs)
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -33,9 +33,9 @@
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
-from endivetally_held.runs import began_suspect
 from endivetally_held.runs import describe_command
 from endivetally_held.runs import find_slow_runs
+from endivetally_held.runs import has_recent_suspect
 from endivetally_held.runs import is_stalled
 from endivetally_held.runs import is_stop_overdue
 from endivetally_held.runs import record_unread_rows
@@ -233,7 +233,7 @@
             and self._measure_silence(run.entry) <= ENTRY_SILENCE_LIMIT_S
             and self._find_unrenewable_run() is None
         )
-        if run.suspect and began_suspect(self._runs.values(), self._clock()):
+        if run.suspect and has_recent_suspect(self._runs.values(), self._clock()):
             return False
         if not may_start or not self.reservations.reserve(run.task, run.need):
             return False
--- a/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
@@ -228,6 +228,9 @@
         ]
         for crash_id in expired:
             self.dismiss(crash_id)
+        released = [name for name, until in self._confined_until.items() if until < now]
+        for name in released:
+            del self._confined_until[name]
 
     def get_guilt(self, task: Hashable) -> float:
         """Return the probability that a task has caused the crashes that it was in."""
