Build dependencies from source with what they declare

Seen: on a new machine make setup ended with 'No matching distribution found for hdrhistogram==0.10.8', so neither make test nor make demo could run. Cause: hdrhistogram has no wheel, and with --no-build-isolation it was built without its build requirements, which gave it the version 0.0.0. Machines on which pip had a wheel of it in its cache did not show this. Change: build isolation is on, and the Makefile installs no build tools itself.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,7 @@
 
 $(VENV)/.installed: pyproject.toml $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check hatchling==1.33.0 editables setuptools==84.2.1
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation $(EDITABLE) '.[dev]'
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check $(EDITABLE) '.[dev]'
 	touch $@
 
 setup: $(VENV)/.installed
