Count a shrunk capacity from the same time when a target restarts

Cause, as far as it is shown: the stand-in starts the next instance of a target without the times of the former one's changes. In virtual time it happens when the target restarts within 20 ms of the held start, and at any time if the agent is killed beside it. Change: the next instance keeps these times. The message names the run, the capacity, and the times of the change and of the instance's start.

--- a/libs/endivetally-standins/src/endivetally_standins/held_target.py
+++ b/libs/endivetally-standins/src/endivetally_standins/held_target.py
@@ -189,6 +189,7 @@
         self._unacknowledged_ends: list[EndedRun] = []
         self._end_count = 0
         self._run_has_ended = asyncio.Event()
+        self._capacity_changed_at = self._created_at
         # Times until which starts may fill former capacities.
         self._former_capacities: list[tuple[float, Resources]] = []
         history.targets.append(self)
@@ -216,14 +217,18 @@
 
         For some seconds starts may still fill the former one.
         """
-        until = self._loop.time() + CAPACITY_GRACE_S
+        self._capacity_changed_at = self._loop.time()
+        until = self._capacity_changed_at + CAPACITY_GRACE_S
         self._former_capacities.append((until, self.report.capacity))
         self.report = replace(self.report, capacity=capacity)
 
     def create_next_instance(
         self, born_ms: int, clock_start_ms: int = CLOCK_START_MS
     ) -> 'HeldTargetStandIn':
-        """Start the target again under the same identifier, after it has ended."""
+        """Start the target again under the same identifier, after it has ended.
+
+        A capacity that has shrunk counts for it from the same time on.
+        """
         self._next_instance = HeldTargetStandIn(
             self.report.target_id,
             self.report.capacity,
@@ -233,6 +238,8 @@
             born_ms=born_ms,
             clock_start_ms=clock_start_ms,
         )
+        self._next_instance._capacity_changed_at = self._capacity_changed_at
+        self._next_instance._former_capacities = self._former_capacities
         return self._next_instance
 
     def crash(self, *, restarts: bool = False) -> None:
@@ -394,7 +401,7 @@
             )
         if self._history.crashes_target(task):
             self._call_later(CRASH_DELAY_S, self._history.crash_target, self)
-        self._check_capacity()
+        self._check_capacity(record)
         return CommandResult.ACCEPTED
 
     def _apply_stop(
@@ -445,12 +452,17 @@
         )
         self._run_has_ended.set()
 
-    def _check_capacity(self) -> None:
+    def _check_capacity(self, record: RecordedRun) -> None:
         used = Resources(0, 0)
         for task in self._active_runs:
             used = used.plus(self._history.get_resources(task))
-        if not self._find_checked_capacity().covers(used):
-            self._history.violations.append(f'over capacity: {used}')
+        capacity = self._find_checked_capacity()
+        if not capacity.covers(used):
+            self._history.violations.append(
+                f'over capacity: {used} of {capacity} since'
+                f' {self._capacity_changed_at:.2f}, instance since'
+                f' {self._created_at:.2f}: {record}'
+            )
 
     def _find_checked_capacity(self) -> Resources:
         """Return the largest capacity of the last seconds."""
