Start nothing at a target whose last report is too old

What could happen: a process that was paused for seconds, or whose reports did not arrive, filled a target up to a capacity that had shrunk meanwhile (LIMIT counts it contactMs and one report later, whether or not the agent is in touch). Cause: the capacity of a report was used without a limit of time. Answers to polls kept the session alive, and a report from before the pause could be read after it. Change: a session starts runs only while its newest report is recent by the target's own clock: contactMs and heartbeatMs of the settings less 1 s for the command itself, 3.5 s by default, and at least two reports. The random test of delayed calls sends reports now, as targets do; it sent one for 20 s.

--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -31,6 +31,7 @@
 from endivetally_held.instance_clients import InstanceClientFactory
 from endivetally_held.instances import InstanceHistory
 from endivetally_held.jobs import TaskKey
+from endivetally_held.lease import MAX_REPORT_AGE_S
 from endivetally_held.messages import MAX_COUNT
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
@@ -65,6 +66,8 @@
 
     :param incarnation: identifies this process; a restarted agent has another one.
     :param client_factory: creates the client of the target from its report.
+    :param max_report_age_s: seconds for which a report tells the target's capacity;
+        nothing is started after that until the next one.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         client_factory: TargetClientFactory,
         events: EventLog,
         clock: Callable[[], float] = monotonic_now,
+        max_report_age_s: float = MAX_REPORT_AGE_S,
     ) -> None:
         hello = AgentHello(incarnation, data_centre)
         self.entry_server = EntryServer(hello, self, events, clock)
@@ -82,6 +86,7 @@
         self._client_factory = InstanceClientFactory(client_factory, self._history)
         self._events = events
         self._clock = clock
+        self._max_report_age_s = max_report_age_s
         self._session: TargetSession | None = None
         self._unconfirmed = UnconfirmedRuns(self.run_ended, events, clock)
         self._crash_reporter = CrashReporter(self.entry_server, events, clock)
@@ -284,6 +289,7 @@
             self._history,
             self._unconfirmed,
             self._crash_reporter.create_detector(report),
+            self._max_report_age_s,
         )
         self._session.start_polling()
 
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -24,6 +24,7 @@
 from endivetally_held.lease import CLOCK_DRIFT_FACTOR
 from endivetally_held.lease import ENTRY_SILENCE_LIMIT_S
 from endivetally_held.lease import LEASE_MS
+from endivetally_held.lease import MAX_REPORT_AGE_S
 from endivetally_held.lease import LeaseTracker
 from endivetally_held.poll_waits import POLL_RESPONSE_S
 from endivetally_held.poll_waits import POLL_RETRY_S
@@ -95,6 +96,7 @@
     :param history: what is known of the target's instances.
     :param unconfirmed: runs of earlier sessions that may still start.
     :param crashes: detects the crash of the instance.
+    :param max_report_age_s: seconds for which a report tells the capacity.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         history: InstanceHistory | None = None,
         unconfirmed: UnconfirmedRuns | None = None,
         crashes: CrashDetector | None = None,
+        max_report_age_s: float = MAX_REPORT_AGE_S,
     ) -> None:
         self.report = report
         self.health = TargetHealth()
@@ -142,6 +145,7 @@
         self._poll_pause_s: float = POLL_RETRY_S
         self._tasks: set[asyncio.Future[None]] = set()
         self._closed = False
+        self._max_report_age_s = max_report_age_s
 
     @property
     def accepting(self) -> bool:
@@ -160,7 +164,12 @@
 
     def may_start(self) -> bool:
         """Return whether another run may start now, if the capacity allows it."""
-        return self.accepting and self.health.may_start(len(self._runs), self._clock())
+        return (
+            self.accepting
+            and self._lease.estimate_age_s(self.report.clock_ms)
+            <= self._max_report_age_s
+            and self.health.may_start(len(self._runs), self._clock())
+        )
 
     def has_run(self, task: TaskKey) -> bool:
         """Return whether a run of a task was started here and has not ended."""
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -50,6 +50,21 @@
     assert load_settings().bounds.cold_overage == overage
 
 
+@pytest.mark.parametrize(
+    ('contact_ms', 'interval_ms', 'age_s'),
+    [(3000, 1500, 3.5), (4000, 1000, 4.0), (500, 200, 0.4)],
+)
+def test_reports_tell_the_capacity_until_a_smaller_one_counts(
+    contact_ms, interval_ms, age_s, settings_file
+):
+    SETTINGS.write(settings_file)
+    content = settings_file.read_text()
+    bounds = f'[bounds]\ncontactMs = {contact_ms}'
+    content = content.replace('[bounds]', bounds)
+    settings_file.write_text(f'heartbeatMs = {interval_ms}\n{content}')
+    assert load_settings().max_report_age_s == age_s
+
+
 STATES = pytest.mark.parametrize(
     'state', ['missing', '', 'ip = "12', 'front = ', 'zone']
 )
--- a/tests/held/cluster.py
+++ b/tests/held/cluster.py
@@ -205,6 +205,8 @@
         self.targets = {}
         self.nodes = {}
         self.killed = []
+        # Agents whose targets send no reports.
+        self.unreported = set()
         self.instance_count = 0
         self.agent_names = [f'agent-{number}' for number in range(agents)]
         self.entry_names = [f'entry-{number}' for number in range(entries)]
@@ -295,7 +297,8 @@
         async def serve():
             async with agent:
                 while True:
-                    if not self.targets[name].has_ended:
+                    is_reporting = name not in self.unreported
+                    if is_reporting and not self.targets[name].has_ended:
                         agent.apply_report(self.targets[name].create_next_report())
                     await asyncio.sleep(0.5)
 
--- a/tests/held/test_capacity_changes.py
+++ b/tests/held/test_capacity_changes.py
@@ -13,6 +13,8 @@
 from held.cluster import Cluster
 from held.cluster import job
 
+CONTACT_S = 3
+REPORT_INTERVAL_S = 1.5
 SMALL = Resources(3200, 32_768)
 LARGE = Resources(32_000, 32_768)
 NOTHING = Resources(0, 0)
@@ -137,3 +139,53 @@
         waiting.cancel()
 
     run_scenario(scenario)
+
+
+async def apply_delayed_report(cluster):
+    """Pause the agent; then it reads the last report before the shrink."""
+    delayed = cluster.targets['agent-0'].create_next_report()
+    change_capacity(cluster, NOTHING)
+    await asyncio.sleep(0.1)
+    cluster.nodes['agent-0'].freeze()
+    await asyncio.sleep(CONTACT_S + REPORT_INTERVAL_S)
+    cluster.nodes['agent-0'].resume()
+    await asyncio.sleep(0.3)
+    cluster.agents['agent-0'].apply_report(delayed)
+
+
+async def lose_reports(cluster):
+    """Let no report arrive after the shrink."""
+    change_capacity(cluster, NOTHING)
+    await asyncio.sleep(CONTACT_S + REPORT_INTERVAL_S)
+
+
+@pytest.mark.parametrize('shrink', [apply_delayed_report, lose_reports])
+def test_capacity_that_was_reported_too_long_ago_is_not_filled(shrink):
+    # Guards against a paused agent that fills a target that has shrunk meanwhile.
+    async def scenario(cluster):
+        cluster.unreported.add('agent-0')
+        await shrink(cluster)
+        waiting = asyncio.ensure_future(submit(cluster, 'a', 4))
+        await asyncio.sleep(1)
+        assert count_active(cluster, 'a') == 0
+        waiting.cancel()
+        change_capacity(cluster, CAPACITY)
+        cluster.unreported.clear()
+        await asyncio.sleep(REPORTED_S)
+        response = await submit(cluster, 'b', 4)
+        assert response.result is JobResult.COMPLETED
+
+    run_scenario(scenario)
+
+
+def test_target_is_used_while_single_reports_are_missing():
+    async def scenario(cluster):
+        for number in range(4):
+            cluster.unreported.add('agent-0')
+            await asyncio.sleep(REPORT_INTERVAL_S * 2 - 0.5)
+            response = await submit(cluster, f'{number}', 4, estimate_s=1)
+            assert response.result is JobResult.COMPLETED
+            cluster.unreported.clear()
+            await asyncio.sleep(0.5)
+
+    run_scenario(scenario, run_s=0.2)
--- a/tests/held/test_delayed_calls.py
+++ b/tests/held/test_delayed_calls.py
@@ -31,6 +31,7 @@
 CAPACITY = Resources(8000, 100)
 COMMAND_TIMEOUT_S = 0.3
 LONGEST_DELAY_S = 2
+REPORT_INTERVAL_S = 1.5
 STEP_S = 0.02
 DURATION_S = 20
 
@@ -185,9 +186,14 @@
         self.in_agent(self.session.start_polling)
         end_at = self.loop.time() + DURATION_S
         number = 0
+        report_at = self.loop.time()
         while self.loop.time() < end_at:
             await asyncio.sleep(STEP_S)
             self.check_stopped()
+            if self.loop.time() >= report_at:
+                report_at += REPORT_INTERVAL_S
+                report = self.target.create_next_report()
+                self.in_agent(self.session.apply_report, report)
             if self.rng.random() < 0.5:
                 number += 1
                 self.in_agent(self.start, number)
