Record what the soak's targets and proxies see of crashes and refusals

Tasks that crash their targets left a machine that answered as another instance at once, so refused connections were played in virtual time only. Change: the report of an unanswered call names the process's terminations and the connections that it refused meanwhile, as its proxy saw them. No check is changed.

--- a/libs/endivetally/src/endivetally/soak/deployment.py
+++ b/libs/endivetally/src/endivetally/soak/deployment.py
@@ -190,11 +190,13 @@
             self._get_task_resources,
             self._does_task_fail,
             self._crashes_target,
+            self._crash_target,
         )
         self.store = StoreStandIn(seed=rng.randrange(2**32))
         self.machines: list[Machine] = []
         self.violations: list[str] = []
         self._known_payloads: set[str] = set()
+        self._crash_tasks: set[asyncio.Future[None]] = set()
         self._restart_tasks: list[asyncio.Future[None]] = []
         self._directory = directory
         self._machine_numbers = itertools.count(1)
@@ -232,7 +234,7 @@
             machine.removed = True
         await self._kill_all()
         # A restart that had already begun may have started a new process.
-        await asyncio.gather(*self._restart_tasks)
+        await asyncio.gather(*self._restart_tasks, *self._crash_tasks)
         await self._kill_all()
         self.store.closing.set()
         await asyncio.sleep(MAX_LONG_POLL_S)
@@ -389,6 +391,15 @@
     def _crashes_target(self, task: TaskKey) -> bool:
         return self.jobs[task.job].crashes_targets and task.number == 0
 
+    def _crash_target(self, target: HeldTargetStandIn) -> None:
+        """Crash a target, which refuses connections until the next one starts."""
+        workers = [each.worker for each in self.machines if each.worker is not None]
+        for worker in workers:
+            if worker.instance is target:
+                crash = asyncio.ensure_future(worker.refuse_connections())
+                self._crash_tasks.add(crash)
+                crash.add_done_callback(self._crash_tasks.discard)
+
     async def _supervise(self) -> None:
         """Restart processes that have exited, as the platform does."""
         while True:
--- a/libs/endivetally/src/endivetally/soak/guarantees.py
+++ b/libs/endivetally/src/endivetally/soak/guarantees.py
@@ -74,8 +74,8 @@
             elapsed_s = call.ended_at - call.sent_at
             self.violations.append(
                 f'{reason}: job {call.job.identifier} at {call.machine.name},'
-                f' sent at {call.sent_at:.2f}, {elapsed_s:.2f} s:'
-                f' {call.outcome.detail}'
+                f' sent at {call.sent_at:.2f}, {elapsed_s:.3f} s:'
+                f' {call.outcome.detail}{_describe_end(call)}'
             )
 
     def collect_violations(self) -> list[str]:
@@ -169,6 +169,23 @@
         return was_started or call.ended_at - call.sent_at > REQUEST_READ_S
 
 
+def _describe_end(call: Call) -> str:
+    """Return what its machine's proxy and signals tell of an unanswered call."""
+    if call.outcome.result is not CallResult.UNANSWERED:
+        return ''
+    terminations = [
+        f'{at:.2f}'
+        for at in call.machine.termination_times
+        if at > call.sent_at - MAX_SHUTDOWN_S
+    ]
+    refusals = [
+        f'{at:.3f}'
+        for at in call.machine.inbound_proxy.refusal_times
+        if call.sent_at <= at <= call.ended_at
+    ]
+    return f'; terminated at {terminations}, connections refused at {refusals}'
+
+
 def get_loop_time() -> float:
     """Return the time of the event loop, in which calls and faults are recorded."""
     return asyncio.get_running_loop().time()
--- a/libs/endivetally/src/endivetally/soak/proxy.py
+++ b/libs/endivetally/src/endivetally/soak/proxy.py
@@ -82,7 +82,8 @@
 
     ``forward`` is the direction to the target address and ``backward`` the opposite
     one. ``refuses_connections`` closes new connections at once. ``discard_times``
-    lists when a blackholed connection discarded data, in time of the event loop.
+    lists when a blackholed connection discarded data, and ``refusal_times`` when the
+    target address refused a connection, in time of the event loop.
 
     :param listen_address: address that the proxy listens on.
     :param target_address: address that it connects to.
@@ -93,6 +94,7 @@
         self.backward = Direction()
         self.refuses_connections = False
         self.discard_times: list[float] = []
+        self.refusal_times: list[float] = []
         self._listen_address = listen_address
         self._target_address = target_address
         self._connections: set[_Connection] = set()
@@ -156,9 +158,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         await self.forward.wait_to_forward()
-        target_reader, target_writer = await asyncio.open_connection(
-            self._target_address.host, self._target_address.port
-        )
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                self._target_address.host, self._target_address.port
+            )
+        except ConnectionRefusedError:
+            self.refusal_times.append(asyncio.get_running_loop().time())
+            raise
         connection.writers.append(target_writer)
         copy_tasks = [
             asyncio.ensure_future(copy)
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -42,6 +42,7 @@
         name='entry-1',
         was_fault_free=lambda since, until: not has_fault,
         termination_times=termination_times,
+        inbound_proxy=types.SimpleNamespace(refusal_times=()),
     )
     deployment = types.SimpleNamespace(
         run_history=run_history, collect_violations=list, jobs={}
