Give a task up after three crashes at like ages

Cause: beside ten younger runs its part in each crash is estimated at 1%, so that only the fourth crash gave it up. A start that the caller's deadline ends before the crash adds nothing to that count, and the caller sends the job again. Change: three confirmed crashes give a task up if its ages at them lie within a factor of four. A task whose ages contradict each other still needs a fourth. One row of the table of verdicts said that a task with ages of 0.7, 0.9 and 1.4 s is only a suspect; that is what allowed the starts, so it expects guilty now, and held while one of the crashes is not certain.

--- a/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
@@ -36,9 +36,12 @@
 MIN_CRASHES: Final = 2
 # Probability from which a task is held to have caused the crashes.
 GUILTY_PROBABILITY: Final = 0.9
-# After this many crashes a task is given up whether or not it has caused them. The
-# users' limit is two further starts after three crashes; one of them may be a start
-# whose crash no agent has seen.
+# The users' limit is two further starts after three crashes. A start that is stopped
+# before the crash counts as well, so three crashes have to be enough unless the ages
+# contradict each other, which differ by more than a factor of four then.
+ALIKE_CRASHES: Final = 3
+ALIKE_DEVIATION: Final = 2.0
+# After this many crashes a task is given up whether or not it has caused them.
 MAX_CRASHES: Final = 4
 # Bounds the memory; a caller resends its job for less than a minute.
 REMEMBERED_CRASHES: Final = 1024
@@ -140,16 +143,20 @@
     shares = [min(presence.share, _HIGHEST_SHARE) for presence in known]
     if len(shares) == 1:
         return shares[0]
-    ages = [math.log(presence.age_s + AGE_OFFSET_S) for presence in known]
-    deviation = (max(ages) - min(ages)) / AGE_DEVIATION
     agreement = AGE_RANGE / (AGE_DEVIATION * math.sqrt(math.tau))
     log_odds = sum(math.log(share / (1 - share)) for share in shares)
     log_odds += (len(shares) - 1) * math.log(agreement / PRIOR_SHARE)
-    log_odds -= deviation**2 / 2
+    log_odds -= _compute_deviation(known) ** 2 / 2
     bounded = max(min(log_odds, _HIGHEST_LOG_ODDS), -_HIGHEST_LOG_ODDS)
     return 1 / (1 + math.exp(-bounded))
 
 
+def _compute_deviation(presences: Iterable[Presence]) -> float:
+    """Return by how much the ages differ, in usual deviations."""
+    ages = [math.log(presence.age_s + AGE_OFFSET_S) for presence in presences]
+    return (max(ages) - min(ages)) / AGE_DEVIATION
+
+
 def is_guilty(presences: Iterable[Presence]) -> bool:
     """Return whether a task is given up after crashes, all of which are certain.
 
@@ -157,9 +164,11 @@
     (False, True)
     """
     known = list(presences)
-    if len(known) >= MAX_CRASHES:
+    if len(known) < MIN_CRASHES or len(known) >= MAX_CRASHES:
+        return len(known) >= MAX_CRASHES
+    if len(known) >= ALIKE_CRASHES and _compute_deviation(known) <= ALIKE_DEVIATION:
         return True
-    return len(known) >= MIN_CRASHES and estimate_guilt(known) >= GUILTY_PROBABILITY
+    return estimate_guilt(known) >= GUILTY_PROBABILITY
 
 
 def choose_confinement(names: Iterable[str]) -> list[str]:
--- a/tests/held/test_crashing_tasks.py
+++ b/tests/held/test_crashing_tasks.py
@@ -8,6 +8,8 @@
 import pytest
 from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
+from endivetally_policy.held import Resources
+from held.cluster import CRASH_DOWN_S
 from held.cluster import SERVICE
 from held.cluster import Cluster
 from held.cluster import job
@@ -184,6 +186,35 @@
     run_scenario(scenario, seed=seed, services=(SERVICE, OTHER))
 
 
+@pytest.mark.parametrize('bystanders', [1, 5, 10])
+def test_starts_that_end_before_the_crash_are_bounded_after_three_crashes(
+    bystanders, monkeypatch
+):
+    # Guards against a count of crashes alone, which starts that the caller's deadline
+    # ends do not add to.
+    monkeypatch.setattr('endivetally_standins.held_target.CRASH_DELAY_S', 1.0)
+
+    async def start(cluster, timeout_s):
+        sent = job('bad', 1, timeout_s=timeout_s, estimate_s=0.5)
+        call = asyncio.ensure_future(cluster.submit('entry-0', sent))
+        await asyncio.sleep(0.85)
+        others = job(f'a-{cluster.loop.time()}', bystanders, timeout_s=1, estimate_s=1)
+        other_call = asyncio.ensure_future(cluster.submit('entry-1', others))
+        await asyncio.gather(call, other_call)
+        await asyncio.sleep(CRASH_DOWN_S + 1)
+
+    async def scenario(cluster):
+        for _ in range(3):
+            await start(cluster, 1.5)
+        assert len(cluster.crashes) == 3
+        for _ in range(4):
+            await start(cluster, 0.9)
+        assert count_starts(cluster) <= MAX_STARTS
+
+    capacity = Resources(160_000, 32_768)
+    run_scenario(scenario, agents=1, run_s=2, capacity=capacity)
+
+
 def crashes_target_rarely(task):
     return int(task.job[1:]) % 30 == 0 and task.number == 0
 
--- a/tests/policy/held/test_crashes.py
+++ b/tests/policy/held/test_crashes.py
@@ -57,7 +57,11 @@
         ([0.7, 0.003], [True, True], CrashVerdict.CLEAR),
         # An innocent task was beside guilty ones three times.
         ([3.6, 0.011, 1.2], [True, True, True], CrashVerdict.CLEAR),
-        ([0.7, 0.9, 1.4], [True, True, True], CrashVerdict.SUSPECT),
+        ([0.7, 0.9], [True, False], CrashVerdict.SUSPECT),
+        # A task that crashes its targets after a second is given up after three.
+        ([0.7, 0.9, 1.4], [True, True, True], CrashVerdict.GUILTY),
+        ([0.7, 0.9, 1.4], [True, False, True], CrashVerdict.HELD),
+        ([1.0, 1.01, 1.0], [True, True, True], CrashVerdict.GUILTY),
         # No task is started again and again, whatever the cause of the crashes.
         ([3.6, 0.011, 1.2, 0.5], [True, True, True, True], CrashVerdict.GUILTY),
         ([3.6, 0.011, 1.2, 0.5], [True, False, True, True], CrashVerdict.HELD),
