--- a/tests/held/cluster.py
+++ b/tests/held/cluster.py
@@ -6,6 +6,7 @@
 
 from differential.clock import Suspension
 from differential.clock import node_context
+from differential.clock import run_virtually
 from endivetally_config.operator_config import Objective
 from endivetally_config.operator_config import OperatorConfig
 from endivetally_config.operator_config import Service
@@ -390,6 +391,23 @@
         return channel
 
 
+def run_scenario(scenario, **options):
+    """Start a cluster and run a scenario with it in virtual time.
+
+    :param options: arguments of the cluster.
+    """
+
+    async def run():
+        cluster = Cluster(**options)
+        await cluster.start()
+        try:
+            await scenario(cluster)
+        finally:
+            cluster.resume_all()
+
+    run_virtually(run())
+
+
 async def _cancel(task):
     task.cancel()
 
--- a/tests/held/test_capacity_changes.py
+++ b/tests/held/test_capacity_changes.py
@@ -5,12 +5,11 @@
 
 import msgspec
 import pytest
-from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
 from endivetally_policy.held import Resources
+from held import cluster as clusters
 from held.cluster import CAPACITY
 from held.cluster import SERVICE
-from held.cluster import Cluster
 from held.cluster import job
 
 CONTACT_S = 3
@@ -25,16 +24,8 @@
 
 
 def run_scenario(scenario, **options):
-    async def run():
-        settings = {'entries': 2, 'agents': 1, 'run_s': 1, 'services': (PATIENT,)}
-        cluster = Cluster(**{**settings, **options})
-        await cluster.start()
-        try:
-            await scenario(cluster)
-        finally:
-            cluster.resume_all()
-
-    run_virtually(run())
+    settings = {'entries': 2, 'agents': 1, 'run_s': 1, 'services': (PATIENT,)}
+    clusters.run_scenario(scenario, **{**settings, **options})
 
 
 def change_capacity(cluster, capacity, name='agent-0'):
--- a/tests/held/test_crashing_tasks.py
+++ b/tests/held/test_crashing_tasks.py
@@ -6,12 +6,11 @@
 
 import msgspec
 import pytest
-from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
 from endivetally_policy.held import Resources
+from held import cluster as clusters
 from held.cluster import CRASH_DOWN_S
 from held.cluster import SERVICE
-from held.cluster import Cluster
 from held.cluster import job
 from held.test_no_concurrent_runs import inject_fault
 from held.test_no_concurrent_runs import run_random_faults
@@ -31,17 +30,12 @@
 def run_scenario(scenario, **options):
     """Run a scenario with targets that crash, and check that none ran a task twice."""
 
-    async def run():
-        cluster = Cluster(**{'agents': 8, **options})
+    async def run_and_check(cluster):
         cluster.run_history.crashes_target = crashes_target
-        await cluster.start()
-        try:
-            await scenario(cluster)
-            assert cluster.run_history.violations == []
-        finally:
-            cluster.resume_all()
-
-    run_virtually(run())
+        await scenario(cluster)
+        assert cluster.run_history.violations == []
+
+    clusters.run_scenario(run_and_check, **{'agents': 8, **options})
 
 
 def count_starts(cluster, job_id='bad'):
