Log when the report of a target is too old to start anything there

Cause: an agent that starts nothing since its target's newest report is too old said so in no line; entries showed only that it does not accept. Change: report_overdue, once when it begins and once when it ends. The limit is a class of its own.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -62,6 +62,7 @@
     TARGET_CAPACITY_CHANGED = 'target_capacity'
     TARGET_HEALTH_CHANGED = 'target_standing'
     REPORT_IGNORED = 'report_ignored'
+    REPORT_OVERDUE = 'report_overdue'
     REPORT_FIELD_IGNORED = 'report_field_ignored'
     RATE_CHANGED = 'rate_changed'
     READINESS_CHANGED = 'readiness_changed'
--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -31,7 +31,6 @@
 from endivetally_held.instance_clients import InstanceClientFactory
 from endivetally_held.instances import InstanceHistory
 from endivetally_held.jobs import TaskKey
-from endivetally_held.lease import MAX_REPORT_AGE_S
 from endivetally_held.messages import MAX_COUNT
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import AnyHeldMessage
@@ -41,6 +40,7 @@
 from endivetally_held.messages import StartRuns
 from endivetally_held.messages import StopRuns
 from endivetally_held.messages import TargetState
+from endivetally_held.report_age import MAX_REPORT_AGE_S
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
 from endivetally_held.session import SessionListener
--- a/libs/endivetally-held/src/endivetally_held/lease.py
+++ b/libs/endivetally-held/src/endivetally_held/lease.py
@@ -24,10 +24,6 @@
 TOKEN_LIMIT: Final = 2**62
 # After this time without a response no new run is started.
 CONTACT_TIMEOUT_S: Final = 0.6
-# Default age of a report from which it no longer tells what a target can run. A target
-# whose capacity has shrunk counts starts 4.5 s later against the smaller one; a start
-# may be carried out 0.8 s after it was sent.
-MAX_REPORT_AGE_S: Final = 3.5
 
 
 class LeaseTracker:
@@ -109,10 +105,7 @@
         return (clock_ms - self._clock_offset_ms) / 1000 - self._clock()
 
     def estimate_age_s(self, clock_ms: int) -> float:
-        """Return the expected seconds since the target's clock showed a time.
-
-        An agent that was paused may read a report that was sent before the pause.
-        """
+        """Return the expected seconds since the target's clock showed a time."""
         return -self.estimate_wait_s(clock_ms)
 
     def record_response(self, clock_ms: int | None) -> None:
--- a/libs/endivetally-held/src/endivetally_held/session.py
+++ b/libs/endivetally-held/src/endivetally_held/session.py
@@ -24,13 +24,14 @@
 from endivetally_held.lease import CLOCK_DRIFT_FACTOR
 from endivetally_held.lease import ENTRY_SILENCE_LIMIT_S
 from endivetally_held.lease import LEASE_MS
-from endivetally_held.lease import MAX_REPORT_AGE_S
 from endivetally_held.lease import LeaseTracker
 from endivetally_held.poll_waits import POLL_RESPONSE_S
 from endivetally_held.poll_waits import POLL_RETRY_S
 from endivetally_held.poll_waits import choose_poll_wait
 from endivetally_held.rate_learner import RateLearner
 from endivetally_held.reappearance import ReappearanceDetector
+from endivetally_held.report_age import MAX_REPORT_AGE_S
+from endivetally_held.report_age import ReportAgeLimit
 from endivetally_held.runs import EndEvidence
 from endivetally_held.runs import Run
 from endivetally_held.runs import RunState
@@ -145,7 +146,7 @@
         self._poll_pause_s: float = POLL_RETRY_S
         self._tasks: set[asyncio.Future[None]] = set()
         self._closed = False
-        self._max_report_age_s = max_report_age_s
+        self._report_age = ReportAgeLimit(max_report_age_s, events)
 
     @property
     def accepting(self) -> bool:
@@ -166,8 +167,7 @@
         """Return whether another run may start now, if the capacity allows it."""
         return (
             self.accepting
-            and self._lease.estimate_age_s(self.report.clock_ms)
-            <= self._max_report_age_s
+            and self._report_age.is_recent(self.report, self._lease)
             and self.health.may_start(len(self._runs), self._clock())
         )
 
--- a/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/crashes.py
@@ -37,9 +37,9 @@
 MIN_CRASHES: Final = 2
 # Probability from which a task is held to have caused the crashes.
 GUILTY_PROBABILITY: Final = 0.9
-# The users' limit is two further starts after three crashes. A start that is stopped
-# before the crash counts as well, so three crashes have to be enough unless the ages
-# contradict each other, which differ by more than a factor of four then.
+# The users' limit is two further starts after three crashes. Starts that are stopped
+# before the crash count as well, so three crashes are enough unless the ages contradict
+# each other, that is, differ by more than a factor of four.
 ALIKE_CRASHES: Final = 3
 ALIKE_DEVIATION: Final = 2.0
 # After this many crashes a task is given up whether or not it has caused them.
