Wait for the log's writer before a test looks for a line

Cause: the event log writes from a thread, and the test looked for the line before that had written it. Alone it failed in one of four runs. Change: the test closes the log, which waits for the thread, and looks then. The whole script was not run on this commit.

--- a/tests/held/test_capacity_changes.py
+++ b/tests/held/test_capacity_changes.py
@@ -159,13 +159,15 @@
         waiting = asyncio.ensure_future(submit(cluster, 'a', 4))
         await asyncio.sleep(1)
         assert count_active(cluster, 'a') == 0
-        assert any(b'report_overdue' in line for line in cluster.lines)
         waiting.cancel()
         change_capacity(cluster, CAPACITY)
         cluster.unreported.clear()
         await asyncio.sleep(REPORTED_S)
         response = await submit(cluster, 'b', 4)
         assert response.result is JobResult.COMPLETED
+        # Lines are written by a thread, which ends here.
+        cluster.events.close()
+        assert b'report_overdue' in b''.join(cluster.lines)
 
     run_scenario(scenario)
 
