--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -205,6 +205,17 @@
         """Return what a program has written so far."""
         return (self._folder / f'{name}.txt').read_text()
 
+    async def move_store(self) -> None:
+        """Move the store to another address, and write it into all settings files."""
+        former = f'{self.store_address[0]}:{STORE_PORT}'
+        moved = (f'{self._net}.8', STORE_PORT)
+        await self.store.move(*moved)
+        for settings in self._folder.glob('*.toml'):
+            text = settings.read_text().replace(former, f'{moved[0]}:{moved[1]}')
+            new = settings.with_suffix('.new')
+            new.write_text(text)
+            new.replace(settings)
+
     async def proxy_store(self) -> Proxy:
         """Put a proxy before the store, and return it."""
         return await self.open_proxy(
@@ -356,17 +367,16 @@
         store: tuple[str, int],
     ) -> Program:
         settings = self._folder / f'{name}.toml'
-        settings.write_text(
-            _SETTINGS.format(
-                name=name,
-                role=role,
-                machine_class=machine_class,
-                ip=ip,
-                zone=zone,
-                listen=listen,
-                store=f'{store[0]}:{store[1]}',
-            )
+        text = _SETTINGS.format(
+            name=name,
+            role=role,
+            machine_class=machine_class,
+            ip=ip,
+            zone=zone,
+            listen=listen,
+            store=f'{store[0]}:{store[1]}',
         )
+        settings.write_text(text)
         return Program(role, settings, self._folder / f'{name}.txt')
 
     def _entry_ip(self, number: int) -> str:
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -54,6 +54,14 @@
         """Serve the store."""
         await self._server.listen(host, port)
 
+    async def move(self, host: str, port: int) -> None:
+        """Serve the same rows at another address only."""
+        former = self._server
+        self._server = HttpServer(self._handle)
+        await self._server.listen(host, port)
+        former.close()
+        former.abort_connections()
+
     def close(self) -> None:
         """Stop listening."""
         self._server.close()
