Remove what the dropped review cases used

Cause: the proxy, late starts and restarts of the stand-ins served cases that were dropped. Change: they are removed from review/lib-2.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks that the stand-ins of the cases 6 to 10 compile. They use the standard library
+# Checks that the stand-ins of the cases 6 to 9 compile. They use the standard library
 # only and are started from their sources, so nothing else has to be built.
 set -eu
 cd "$(dirname "$0")"
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -18,7 +18,6 @@
 from typing import Self
 
 from http_server import call
-from proxy import Proxy
 from store import Store
 from worker import Worker
 
@@ -26,12 +25,9 @@
 SERVICE = 'huvo11a'
 HOST = 'nony24.example'
 ZONES = ('hall-a', 'hall-b', 'hall-c')
-RETRANSMIT_S = 1.3
 FRONT_PORT = 8161
 STORE_PORT = 8169
-STORE_PROXY_PORT = 8170
 AGENT_PORT = 7720
-AGENT_PROXY_PORT = 7719
 CONTROL_PORT = 8166
 READY_PORT = 8167
 APP_PORT = 8165
@@ -216,28 +212,11 @@
             new.write_text(text)
             new.replace(settings)
 
-    async def proxy_store(self) -> Proxy:
-        """Put a proxy before the store, and return it."""
-        return await self.open_proxy(
-            (self.store_address[0], STORE_PROXY_PORT), self.store_address
-        )
-
-    async def open_proxy(
-        self, listen: tuple[str, int], target: tuple[str, int]
-    ) -> Proxy:
-        """Forward connections from one address to another."""
-        proxy = Proxy(target)
-        await proxy.listen(*listen)
-        self._stack.callback(proxy.close)
-        return proxy
-
     async def start_worker(
         self,
         number: int,
         work_s: float,
         zone: str = ZONES[0],
-        *,
-        sends_born: bool = False,
     ) -> Worker:
         """Start an agent and its worker."""
         ip = self._agent_ip(number)
@@ -250,7 +229,6 @@
             zone,
             work_s,
             self.record,
-            sends_born=sends_born,
         )
         await worker.start()
         self._stack.callback(worker.close)
