Refuse bodies over the limit before they are buffered

What callers saw: 12 clients that announced or sent 60 MB each ended an entry, which ran out of memory; ordinary callers got no answer. The same bodies sent to the readiness address, to the metrics or to an agent's address for reports ended those processes.

Cause: all listeners of `Program.serve` were tornado's server with its defaults, which buffers 100 MB for each connection before a handler sees the request. `JobHandler` compared the length with its limit only afterwards.

`BoundedServer`, a library of its own, takes the place of `DrainingServer` for every listener. It refuses a body by its announced length, or once more bytes of it have arrived than the limit, with 413, `"ran": "not_run"` and `Connection: close`, also before it would ask for the body with 100. Up to 1 MB is discarded for up to 1 s after the response, since closing a connection with unread data resets it and the client may lose the response. Nothing of the request has run: it never reaches a handler. The limit is that of a job for callers, and 64 KB elsewhere. Refusals are counted by `endivetally_clients_refused_total`, and the first of 10 s is logged as `client_refused`.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-LIBS := core config table policy held entry agent standins
+LIBS := core config table policy http held entry agent standins
 EDITABLE := $(foreach lib,$(LIBS),-e libs/endivetally-$(lib)) -e libs/endivetally -e platform
 
 # Scenarios with a fault that is listed: they run last and may fail (exit code 1 only).
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
         --target target/deps -r deploy/requirements.txt
     cp deploy/requirements.txt "$mark"
 fi
-for library in core config table policy held; do
+for library in core config table policy http held; do
     rm -rf "target/deps/endivetally_$library"
     cp -R "libs/endivetally-$library/src/endivetally_$library" target/deps/
 done
--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -85,6 +85,7 @@
     RENEWAL_PAUSED = 'renewal_paused'
     COMMAND_UNANSWERED = 'order_unanswered'
     RESPONSE_NOT_UNDERSTOOD = 'response_not_understood'
+    CLIENT_REFUSED = 'client_refused'
     LINES_DROPPED = 'lines_dropped'
     LIBRARY_WARNING = 'library_warning'
     UNEXPECTED_ERROR = 'unexpected_error'
--- /dev/null
+++ b/libs/endivetally-http/src/endivetally_http/client.py
@@ -0,0 +1,137 @@
+"""A connection of a client, and the request that arrives on it."""
+
+import asyncio
+import socket
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Awaitable
+from contextlib import suppress
+from typing import Final
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+
+from endivetally_http.refusals import Refusal
+
+# Bytes that are read at once.
+READ_BYTES: Final = 16 * 1024
+# Bytes and seconds that are read of a refused body, so that its client receives the
+# response before the connection is reset.
+DISCARD_BYTES: Final = 1024 * 1024
+DISCARD_S: Final = 1.0
+
+
+class ClientOwner(ABC):
+    """Keeps the connections of clients, and is told of the progress of requests."""
+
+    @abstractmethod
+    def request_refused(self, client: 'Client', refusal: Refusal) -> bytes:
+        """Handle a request that exceeds a limit, and return the response to it."""
+
+
+class Client:
+    """A connection of a client.
+
+    :param address: address of the client, for the log.
+    :ivar body: body of the incomplete request; empty once it is refused.
+    :ivar refused: whether the connection is about to be closed.
+    :ivar has_headers: whether the headers of a request without a complete response have
+        arrived.
+    """
+
+    def __init__(
+        self, connection: socket.socket, address: str, owner: ClientOwner
+    ) -> None:
+        self.stream = IOStream(connection, read_chunk_size=READ_BYTES)
+        self.address = address
+        self.owner = owner
+        self.body = bytearray()
+        self.refused = False
+        self.has_headers = False
+
+    async def refuse_while_receiving(self, refusal: Refusal) -> None:
+        """Send the response, discard a part of what arrives, and close the connection.
+
+        Closing a connection with unread data resets it, and the client may then lose
+        the response.
+        """
+        response = self.owner.request_refused(self, refusal)
+        self.body.clear()
+        stream = self.stream
+        with suppress(StreamClosedError, OSError, TimeoutError):
+            stream.write(response)
+            stream.socket.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(DISCARD_S):
+                await _discard(stream)
+        stream.close()
+
+
+class BoundedRequest(HTTPMessageDelegate):
+    """Collects a request, and refuses it once its body is known to be too large.
+
+    :param delegate: handles the complete request.
+    :param max_body_bytes: longest body.
+    """
+
+    def __init__(
+        self,
+        delegate: HTTPMessageDelegate,
+        client: Client,
+        max_body_bytes: int,
+    ) -> None:
+        self._delegate = delegate
+        self._client = client
+        self._max_body_bytes = max_body_bytes
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Handle the headers, or refuse the request by the announced length."""
+        if _announced_length(headers) > self._max_body_bytes:
+            return self._refuse(Refusal.BODY_TOO_LARGE)
+        self._client.has_headers = True
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Append a part of the body, or refuse the request."""
+        self._client.body += chunk
+        size = len(self._client.body)
+        if size > self._max_body_bytes:
+            return self._refuse(Refusal.BODY_TOO_LARGE)
+        return None
+
+    def finish(self) -> None:
+        """Handle the complete request."""
+        if self._client.refused:
+            return
+        body = bytes(self._client.body)
+        self._client.body.clear()
+        if body:
+            self._delegate.data_received(body)
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        """Handle the end of the connection before the request was complete."""
+        self._client.body.clear()
+        self._delegate.on_connection_close()
+
+    def _refuse(self, refusal: Refusal) -> Awaitable[None]:
+        return self._client.refuse_while_receiving(refusal)
+
+
+def _announced_length(headers: HTTPHeaders) -> int:
+    """Return the announced length of a body; tornado rejects malformed ones."""
+    try:
+        return int(headers.get('Content-Length', '0'))
+    except ValueError:
+        return 0
+
+
+async def _discard(stream: IOStream) -> None:
+    discarded = 0
+    while discarded < DISCARD_BYTES:
+        discarded += len(await stream.read_bytes(READ_BYTES, partial=True))
--- a/tests/adapter/test_shut_down.py
+++ b/tests/adapter/test_shut_down.py
@@ -13,7 +13,6 @@
 from endivetally_held.jobs import JobResult
 from endivetally_platform import programs
 from endivetally_platform.configuration import decode_configuration
-from endivetally_platform.entry_api import create_caller_application
 from endivetally_platform.programs import EntryProgram
 from endivetally_platform.settings import Bounds
 from endivetally_platform.settings import ListenAddresses
@@ -93,7 +92,7 @@
 async def test_requests_in_the_backlog_are_answered(port):
     program = create_program()
     async with program.exit_stack:
-        server = program.serve(create_caller_application(program), Address(HOST, port))
+        server = program.serve_callers(Address(HOST, port))
         callers = Callers(port)
         callers.send(REQUEST)
         program.stop_requested.set()
@@ -106,7 +105,7 @@
 async def test_requests_in_socket_buffers_are_answered(port, parts, monkeypatch):
     program = create_program()
     async with program.exit_stack:
-        server = program.serve(create_caller_application(program), Address(HOST, port))
+        server = program.serve_callers(Address(HOST, port))
         callers = Callers(port)
         middle = len(REQUEST) - 10 if parts == 2 else 0
         callers.send(REQUEST[:middle])
@@ -126,7 +125,7 @@
 async def test_request_in_the_backlog_is_served_while_there_is_time(port, monkeypatch):
     program = create_program()
     async with program.exit_stack:
-        server = program.serve(create_caller_application(program), Address(HOST, port))
+        server = program.serve_callers(Address(HOST, port))
         callers = Callers(port, 1)
         callers.send(REQUEST)
 
@@ -146,7 +145,7 @@
 ):
     program = create_program(programs.EXIT_MARGIN_S)
     async with program.exit_stack:
-        server = program.serve(create_caller_application(program), Address(HOST, port))
+        server = program.serve_callers(Address(HOST, port))
         callers = Callers(port, 1)
         callers.send(request_part)
         # The remaining 0.2 s of the grace period are for the end of the process.
