Bound the sum of all incomplete requests

What callers saw: 60 connections, each with a part of a body that is within the limit, took 210 MB of a machine of 128 MB, which ends the process.

Cause: a limit for one body bounds nothing by itself, as memory is the limit times the connections. Nothing counted what incomplete requests hold together.

All bytes that are read of a request count until it is complete, over all listeners of the process. The sum may be an eighth of `memoryMb`. Above that the requests are refused with 503 and `Retry-After: 1` that have held most memory for the longest time (bytes times seconds), down to seven eighths of the limit. The decision is `IncompleteRequests` in the policy library.

--- a/libs/endivetally-http/src/endivetally_http/client.py
+++ b/libs/endivetally-http/src/endivetally_http/client.py
@@ -5,6 +5,7 @@
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Awaitable
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Final
 
@@ -17,7 +18,8 @@
 
 from endivetally_http.refusals import Refusal
 
-# Bytes that are read at once.
+# Bytes that are read at once. What follows a request on its connection may fill one
+# such part while the request is handled.
 READ_BYTES: Final = 16 * 1024
 # Bytes and seconds that are read of a refused body, so that its client receives the
 # response before the connection is reset.
@@ -25,9 +27,42 @@
 DISCARD_S: Final = 1.0
 
 
+class ObservedStream(IOStream):
+    """A stream that reports how many bytes it has read from its socket.
+
+    :param on_read: called with the number of bytes.
+    """
+
+    def __init__(self, connection: socket.socket, on_read: Callable[[int], None]):
+        super().__init__(
+            connection,
+            read_chunk_size=READ_BYTES,
+        )
+        self._on_read = on_read
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket."""
+        size = super().read_from_fd(buf)
+        if size:
+            self._on_read(size)
+        return size
+
+
 class ClientOwner(ABC):
     """Keeps the connections of clients, and is told of the progress of requests."""
 
+    @abstractmethod
+    def count_read(self, client: 'Client', size: int) -> None:
+        """Count bytes that were read from a connection."""
+
+    @abstractmethod
+    def body_received(self) -> None:
+        """Handle that bytes were added to the body of a request."""
+
+    @abstractmethod
+    def request_arrived(self, client: 'Client') -> None:
+        """Handle the end of a request, before it is handled."""
+
     @abstractmethod
     def request_refused(self, client: 'Client', refusal: Refusal) -> bytes:
         """Handle a request that exceeds a limit, and return the response to it."""
@@ -38,6 +73,7 @@
 
     :param address: address of the client, for the log.
     :ivar body: body of the incomplete request; empty once it is refused.
+    :ivar handling: whether a complete request has no complete response yet.
     :ivar refused: whether the connection is about to be closed.
     :ivar has_headers: whether the headers of a request without a complete response have
         arrived.
@@ -46,13 +82,24 @@
     def __init__(
         self, connection: socket.socket, address: str, owner: ClientOwner
     ) -> None:
-        self.stream = IOStream(connection, read_chunk_size=READ_BYTES)
+        self.stream = ObservedStream(
+            connection, lambda size: owner.count_read(self, size)
+        )
         self.address = address
         self.owner = owner
         self.body = bytearray()
+        self.handling = False
         self.refused = False
         self.has_headers = False
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Send the response to an incomplete request and close the connection."""
+        response = self.owner.request_refused(self, refusal)
+        self.body.clear()
+        with suppress(StreamClosedError):
+            self.stream.write(response)
+        self.stream.close()
+
     async def refuse_while_receiving(self, refusal: Refusal) -> None:
         """Send the response, discard a part of what arrives, and close the connection.
 
@@ -99,6 +146,8 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Append a part of the body, or refuse the request."""
         self._client.body += chunk
+        # Further parts may follow without a switch to another task.
+        self._client.owner.body_received()
         size = len(self._client.body)
         if size > self._max_body_bytes:
             return self._refuse(Refusal.BODY_TOO_LARGE)
@@ -106,8 +155,10 @@
 
     def finish(self) -> None:
         """Handle the complete request."""
+        # The last part of a body may come with the decision to evict it.
         if self._client.refused:
             return
+        self._client.owner.request_arrived(self._client)
         body = bytes(self._client.body)
         self._client.body.clear()
         if body:
--- a/libs/endivetally-http/src/endivetally_http/refusals.py
+++ b/libs/endivetally-http/src/endivetally_http/refusals.py
@@ -28,10 +28,12 @@
     """
 
     BODY_TOO_LARGE = 'body_too_large'
+    NO_MEMORY = 'no_memory'
 
 
 _STATUS_LINES: Final[Mapping[Refusal, str]] = {
     Refusal.BODY_TOO_LARGE: '413 Content Too Large',
+    Refusal.NO_MEMORY: '503 Service Unavailable',
 }
 
 
@@ -52,6 +54,8 @@
         f'Content-Length: {len(body)}',
         'Connection: close',
     ]
+    if status.startswith('503'):
+        lines.append('Retry-After: 1')
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
--- a/libs/endivetally-http/src/endivetally_http/server.py
+++ b/libs/endivetally-http/src/endivetally_http/server.py
@@ -1,4 +1,4 @@
-"""HTTP server with bounds on bodies.
+"""HTTP server with bounds on bodies and incomplete requests.
 
 It answers the requests that have arrived when it closes.
 """
@@ -118,6 +118,7 @@
         """Return the delegate that handles the next request of a connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         client = self._clients[server_conn.stream]
+        client.handling = False
         client.has_headers = False
         delegate = super().start_request(server_conn, request_conn)
         return BoundedRequest(delegate, client, self._limits.max_body_bytes)
@@ -125,12 +126,29 @@
     def on_close(self, server_conn: object) -> None:
         """Forget a closed connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
-        del self._clients[server_conn.stream]
+        client = self._clients.pop(server_conn.stream)
+        self._usage.incomplete.remove(client)
         super().on_close(server_conn)
 
+    def count_read(self, client: Client, size: int) -> None:
+        """Count bytes of an incomplete request."""
+        # What follows a request that is handled fits into the share of a connection.
+        if not (client.handling or client.refused):
+            self._usage.count_read(client, size)
+
+    def body_received(self) -> None:
+        """Evict requests if all incomplete ones take too much memory."""
+        self._usage.evict_requests()
+
+    def request_arrived(self, client: Client) -> None:
+        """Keep the connection while its request is handled."""
+        self._usage.incomplete.remove(client)
+        client.handling = True
+
     def request_refused(self, client: Client, refusal: Refusal) -> bytes:
-        """Count the refusal and return the response to the request."""
+        """Count the refusal, release the request and return the response to it."""
         self._record(client, refusal)
+        self._usage.incomplete.remove(client)
         client.refused = True
         return encode_refusal(refusal, self._encode_body(refusal))
 
@@ -159,7 +177,7 @@
             self._name,
             refusal,
             client.address,
-            len(client.body),
+            self._usage.incomplete.size(client),
             len(self._clients),
         )
 
--- a/libs/endivetally-policy/src/endivetally_policy/clients/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/clients/__init__.py
@@ -1,9 +1,11 @@
 """Limits on what clients can hold of a process, and which of them lose it first."""
 
+from endivetally_policy.clients.incomplete import IncompleteRequests
 from endivetally_policy.clients.limits import ProcessLimits
 from endivetally_policy.clients.limits import ServerLimits
 
 __all__ = (
+    'IncompleteRequests',
     'ProcessLimits',
     'ServerLimits',
 )
--- a/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
@@ -4,6 +4,9 @@
 from typing import Final
 
 BYTES_PER_MB: Final = 1024 * 1024
+# Part of the memory for incomplete requests. A process that has no clients uses less
+# than a third of the smallest machine.
+INCOMPLETE_PART: Final = 1 / 8
 # Longest body at a listener that callers don't use; reports take about 1 KB.
 SIDE_BODY_BYTES: Final = 64 * 1024
 
@@ -27,6 +30,11 @@
 
     memory_mb: float = 160
 
+    @property
+    def max_incomplete_bytes(self) -> int:
+        """Bytes that all incomplete requests of the process may hold together."""
+        return int(self.memory_mb * BYTES_PER_MB * INCOMPLETE_PART)
+
     @property
     def side_server(self) -> ServerLimits:
         """Limits of a server that callers don't use, such as that of the metrics."""
