Bound the connections of each listener, and close silent ones for new ones

What callers saw: 600 connections that send nothing took all 400 descriptors of a process. No ordinary request was accepted any more, and an entry lost its way to the store and the agents. `accept` failed without end, as the listening socket stays readable: thousands of log lines, and a core of processor time.

Cause: connections had no limit and stayed for an hour, and nothing handled an error of `accept`.

At its limit a server closes for a new connection the oldest one on which no request was ever complete, then the one that is idle longest, then one whose client sends more without reading its response. A request that is being handled keeps its connection; where all are handled, the new one is closed. Closing silent connections keeps the door open, refusing new ones would not; a caller's connection between two requests looks silent, which is why one that has had a response outlasts one that has not.

`Listener` accepts connections for all servers. The kernel keeps 16 KB of a connection that is not read, as unread bytes count for the memory of the machine.

--- a/libs/endivetally-http/src/endivetally_http/client.py
+++ b/libs/endivetally-http/src/endivetally_http/client.py
@@ -40,6 +40,11 @@
         )
         self._on_read = on_read
 
+    @property
+    def has_buffered(self) -> bool:
+        """Whether data was read that no request has consumed."""
+        return self._read_buffer_size > 0
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket."""
         size = super().read_from_fd(buf)
--- a/libs/endivetally-http/src/endivetally_http/refusals.py
+++ b/libs/endivetally-http/src/endivetally_http/refusals.py
@@ -29,11 +29,14 @@
 
     BODY_TOO_LARGE = 'body_too_large'
     NO_MEMORY = 'no_memory'
+    TOO_MANY_CONNECTIONS = 'too_many_connections'
+    ACCEPT_FAILED = 'accept_failed'
 
 
 _STATUS_LINES: Final[Mapping[Refusal, str]] = {
     Refusal.BODY_TOO_LARGE: '413 Content Too Large',
     Refusal.NO_MEMORY: '503 Service Unavailable',
+    Refusal.TOO_MANY_CONNECTIONS: '503 Service Unavailable',
 }
 
 
--- a/libs/endivetally-http/src/endivetally_http/server.py
+++ b/libs/endivetally-http/src/endivetally_http/server.py
@@ -1,10 +1,9 @@
-"""HTTP server with bounds on bodies and incomplete requests.
+"""HTTP server with bounds on connections, bodies and incomplete requests.
 
 It answers the requests that have arrived when it closes.
 """
 
 import asyncio
-import logging
 import socket
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -12,6 +11,8 @@
 from typing import Final
 
 from endivetally_core.clock import monotonic_now
+from endivetally_core.listener import Listener
+from endivetally_policy.clients import EvictionOrder
 from endivetally_policy.clients import ServerLimits
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -33,11 +34,12 @@
 CLOSE_CHECK_S: Final = 0.005
 # A caller may keep a connection open between two requests.
 IDLE_TIMEOUT_S: Final = 3600
+# Bytes that the kernel holds of a connection that is not read; it adds as many for its
+# own use.
+RECEIVE_BUFFER_BYTES: Final = 16 * 1024
 # The body is bounded by `BoundedRequest`, whose response tells the client so.
 _NO_BODY_LIMIT: Final = 2**62
 
-_log = logging.getLogger(__name__)
-
 
 class BoundedServer(HTTPServer, ClientOwner):
     """HTTP server whose clients can't take more than their share of the process.
@@ -83,20 +85,21 @@
         self._limits = limits
         self._usage = usage
         self._encode_body = encode_body
-        self._listening: list[socket.socket] = []
+        self._listener = Listener(self._serve_connection, self._report_failure)
         self._clients: dict[IOStream, Client] = {}
+        self._order: EvictionOrder[Client] = EvictionOrder()
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
-        listening = tuple(sockets)
-        self._listening.extend(listening)
-        super().add_sockets(listening)
+        for listening in sockets:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            self._listener.add(listening)
 
     def stop(self) -> None:
         """Accept the connections that wait in the backlog, then stop listening."""
-        for listening in self._listening:
-            self._accept_waiting(listening)
-        self._listening.clear()
+        self._listener.close()
         super().stop()
 
     async def close_answered(self, timeout_s: float) -> None:
@@ -118,7 +121,9 @@
         """Return the delegate that handles the next request of a connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         client = self._clients[server_conn.stream]
-        client.handling = False
+        if client.handling:
+            client.handling = False
+            self._order.add_used(client)
         client.has_headers = False
         delegate = super().start_request(server_conn, request_conn)
         return BoundedRequest(delegate, client, self._limits.max_body_bytes)
@@ -127,7 +132,9 @@
         """Forget a closed connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         client = self._clients.pop(server_conn.stream)
+        self._order.remove(client)
         self._usage.incomplete.remove(client)
+        self._usage.connections[self._name] -= 1
         super().on_close(server_conn)
 
     def count_read(self, client: Client, size: int) -> None:
@@ -143,6 +150,7 @@
     def request_arrived(self, client: Client) -> None:
         """Keep the connection while its request is handled."""
         self._usage.incomplete.remove(client)
+        self._order.remove(client)
         client.handling = True
 
     def request_refused(self, client: Client, refusal: Refusal) -> bytes:
@@ -152,25 +160,45 @@
         client.refused = True
         return encode_refusal(refusal, self._encode_body(refusal))
 
-    def _handle_connection(
+    def _report_failure(self) -> None:
+        """Close a connection, as the process has no descriptor for another one."""
+        self._record_closed('', Refusal.ACCEPT_FAILED)
+        self._evict_connection(Refusal.ACCEPT_FAILED)
+
+    def _serve_connection(
         self, connection: socket.socket, address: tuple[Any, ...]
     ) -> None:
+        full = len(self._clients) >= self._limits.max_connections
+        if full and not self._evict_connection(Refusal.TOO_MANY_CONNECTIONS):
+            self._record_closed(address[0], Refusal.TOO_MANY_CONNECTIONS)
+            connection.close()
+            return
         client = Client(connection, address[0], self)
         self._clients[client.stream] = client
+        self._order.add_new(client)
+        self._usage.connections[self._name] += 1
         self.handle_stream(client.stream, address)
 
-    def _accept_waiting(self, listening: socket.socket) -> None:
-        while True:
-            try:
-                connection, address = listening.accept()
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            except OSError as error:
-                _log.warning('connections in the backlog are lost: %s', error)
-                return
-            self._handle_connection(connection, address)
+    def _evict_connection(self, reason: Refusal) -> bool:
+        """Close the first connection of the eviction order, if there is one."""
+        client = self._order.find_next() or self._find_unread()
+        if client is None:
+            return False
+        self._order.remove(client)
+        if client in self._usage.incomplete:
+            client.refuse(Refusal.TOO_MANY_CONNECTIONS)
+            return True
+        self._record(client, reason)
+        client.stream.close()
+        return True
+
+    def _find_unread(self) -> Client | None:
+        """Return a client that sends more before it has read its response."""
+        for client in self._clients.values():
+            stream = client.stream
+            if not stream.closed() and (stream.writing() or stream.has_buffered):
+                return client
+        return None
 
     def _record(self, client: Client, refusal: Refusal) -> None:
         self._usage.refusal_log.record(
@@ -181,6 +209,11 @@
             len(self._clients),
         )
 
+    def _record_closed(self, address: str, refusal: Refusal) -> None:
+        """Record a connection that is closed before anything is read from it."""
+        log = self._usage.refusal_log
+        log.record(self._name, refusal, address, 0, len(self._clients))
+
 
 def _has_request(client: Client) -> bool:
     stream = client.stream
--- a/libs/endivetally-http/src/endivetally_http/usage.py
+++ b/libs/endivetally-http/src/endivetally_http/usage.py
@@ -1,6 +1,7 @@
 """What the clients of all servers of a process hold together."""
 
 import asyncio
+from collections import Counter
 from typing import Final
 
 from endivetally_core.clock import monotonic_now
@@ -19,6 +20,9 @@
     'Requests that were refused, and connections that were closed, by a limit.',
     ('server', 'reason'),
 )
+CONNECTIONS: Final = MetricDefinition(
+    'endivetally_client_connections', 'Open connections of clients.', ('server',)
+)
 INCOMPLETE_BYTES: Final = MetricDefinition(
     'endivetally_incomplete_request_bytes',
     'Bytes of requests that have not arrived completely.',
@@ -28,12 +32,15 @@
 class ClientUsage:
     """Shared by the servers of a process.
 
+    ``connections`` counts the open connections by the name of the server.
+
     :param refusal_log: receives what is refused by a limit.
     """
 
     def __init__(self, limits: ProcessLimits, refusal_log: RefusalLog) -> None:
         self.limits = limits
         self.refusal_log = refusal_log
+        self.connections: Counter[str] = Counter()
         self.incomplete: IncompleteRequests[Client] = IncompleteRequests(
             limits.max_incomplete_bytes
         )
@@ -54,13 +61,19 @@
             client.refuse(Refusal.NO_MEMORY)
 
     def add_metrics(self, metrics: Metrics) -> None:
-        """Expose the refusals and the bytes that clients hold."""
+        """Expose the refusals, the connections and the bytes that clients hold."""
         metrics.add_counter(
             REFUSALS,
             lambda: [
                 Sample(count, key) for key, count in self.refusal_log.counts.items()
             ],
         )
+        metrics.add_gauge(
+            CONNECTIONS,
+            lambda: [
+                Sample(count, (name,)) for name, count in self.connections.items()
+            ],
+        )
         metrics.add_gauge(
             INCOMPLETE_BYTES, lambda: [Sample(self.incomplete.total_bytes)]
         )
