Limit the start line and headers of a request to 16 KB

Cause: tornado's default is 64 KB for each connection, held outside the bodies. Repeated header names also take time that grows with the square of their number.

The limit is 16 KB, as in most servers; requests of the users' pages have 200 bytes or so. The connection is closed without a response and counted as `headers_too_large`. The stream buffers no more than the headers and two reads.

--- a/libs/endivetally-http/src/endivetally_http/client.py
+++ b/libs/endivetally-http/src/endivetally_http/client.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from typing import Final
 
+from endivetally_policy.clients import HEADER_BYTES
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
@@ -36,6 +37,7 @@
     def __init__(self, connection: socket.socket, on_read: Callable[[int], None]):
         super().__init__(
             connection,
+            max_buffer_size=HEADER_BYTES + 2 * READ_BYTES,
             read_chunk_size=READ_BYTES,
         )
         self._on_read = on_read
--- a/libs/endivetally-http/src/endivetally_http/refusals.py
+++ b/libs/endivetally-http/src/endivetally_http/refusals.py
@@ -28,6 +28,7 @@
     """
 
     BODY_TOO_LARGE = 'body_too_large'
+    HEADERS_TOO_LARGE = 'headers_too_large'
     NO_MEMORY = 'no_memory'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
     ACCEPT_FAILED = 'accept_failed'
--- a/libs/endivetally-http/src/endivetally_http/server.py
+++ b/libs/endivetally-http/src/endivetally_http/server.py
@@ -12,6 +12,7 @@
 
 from endivetally_core.clock import monotonic_now
 from endivetally_core.listener import Listener
+from endivetally_policy.clients import HEADER_BYTES
 from endivetally_policy.clients import EvictionOrder
 from endivetally_policy.clients import ServerLimits
 from tornado.http1connection import HTTP1ServerConnection
@@ -19,6 +20,7 @@
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPMessageDelegate
 from tornado.iostream import IOStream
+from tornado.iostream import UnsatisfiableReadError
 from tornado.web import Application
 
 from endivetally_http.client import READ_BYTES
@@ -78,6 +80,7 @@
         super().initialize(
             application,
             chunk_size=READ_BYTES,
+            max_header_size=HEADER_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             max_body_size=_NO_BODY_LIMIT,
         )
@@ -132,6 +135,8 @@
         """Forget a closed connection."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         client = self._clients.pop(server_conn.stream)
+        if isinstance(client.stream.error, UnsatisfiableReadError):
+            self._record(client, Refusal.HEADERS_TOO_LARGE)
         self._order.remove(client)
         self._usage.incomplete.remove(client)
         self._usage.connections[self._name] -= 1
--- a/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
@@ -6,6 +6,9 @@
 BYTES_PER_MB: Final = 1024 * 1024
 # Descriptors that the platform keeps for files.
 FILE_DESCRIPTORS: Final = 200
+# Longest start line and headers of a request, as in most servers. Repeated headers
+# take time that grows with the square of their number.
+HEADER_BYTES: Final = 16 * 1024
 # Memory that a connection may take besides the bytes of an incomplete request: the
 # objects, a part of the next request in the process, and another one in the kernel.
 CONNECTION_BYTES: Final = 48 * 1024
--- a/tests/policy/clients/test_limits.py
+++ b/tests/policy/clients/test_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 from endivetally_policy.clients import CONNECTION_BYTES
+from endivetally_policy.clients import HEADER_BYTES
 from endivetally_policy.clients import ProcessLimits
 
 MEGABYTE = 1024 * 1024
@@ -41,3 +42,4 @@
 def test_callers_have_hundreds_of_connections_on_the_smallest_machine():
     limits = ProcessLimits(128, 4096)
     assert limits.caller_server(1).max_connections > 500
+    assert HEADER_BYTES < CONNECTION_BYTES
