Refuse requests that arrive too slowly, and close unread connections

What callers could do: begin a request and never end it. The headers had an hour, a body had no limit of time, and a connection whose client reads no response was kept for good. Each took a connection and memory all the while.

Cause: `idle_connection_timeout` was the only limit of time, and tornado applies it to headers only.

A connection whose client has not taken a response within 20 s is closed. Both are looked for once a second while there are connections. A connection between two requests may still be kept for an hour.

--- a/libs/endivetally-http/src/endivetally_http/client.py
+++ b/libs/endivetally-http/src/endivetally_http/client.py
@@ -84,6 +84,7 @@
     :ivar refused: whether the connection is about to be closed.
     :ivar has_headers: whether the headers of a request without a complete response have
         arrived.
+    :ivar unread_since: monotonic time from which the client reads no response.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.handling = False
         self.refused = False
         self.has_headers = False
+        self.unread_since: float | None = None
 
     def refuse(self, refusal: Refusal) -> None:
         """Send the response to an incomplete request and close the connection."""
--- a/libs/endivetally-http/src/endivetally_http/refusals.py
+++ b/libs/endivetally-http/src/endivetally_http/refusals.py
@@ -29,13 +29,16 @@
 
     BODY_TOO_LARGE = 'body_too_large'
     HEADERS_TOO_LARGE = 'headers_too_large'
+    TOO_SLOW = 'too_slow'
     NO_MEMORY = 'no_memory'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
+    UNREAD_RESPONSE = 'unread_response'
     ACCEPT_FAILED = 'accept_failed'
 
 
 _STATUS_LINES: Final[Mapping[Refusal, str]] = {
     Refusal.BODY_TOO_LARGE: '413 Content Too Large',
+    Refusal.TOO_SLOW: '408 Request Timeout',
     Refusal.NO_MEMORY: '503 Service Unavailable',
     Refusal.TOO_MANY_CONNECTIONS: '503 Service Unavailable',
 }
--- a/libs/endivetally-http/src/endivetally_http/server.py
+++ b/libs/endivetally-http/src/endivetally_http/server.py
@@ -39,6 +39,10 @@
 # Bytes that the kernel holds of a connection that is not read; it adds as many for its
 # own use.
 RECEIVE_BUFFER_BYTES: Final = 16 * 1024
+# Interval of the checks for slow clients.
+SLOW_CHECK_S: Final = 1.0
+# A connection is closed when its client has not taken a response within this time.
+UNREAD_S: Final = 20.0
 # The body is bounded by `BoundedRequest`, whose response tells the client so.
 _NO_BODY_LIMIT: Final = 2**62
 
@@ -91,6 +95,7 @@
         self._listener = Listener(self._serve_connection, self._report_failure)
         self._clients: dict[IOStream, Client] = {}
         self._order: EvictionOrder[Client] = EvictionOrder()
+        self._slow_check: asyncio.TimerHandle | None = None
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
@@ -118,6 +123,13 @@
             await asyncio.sleep(CLOSE_CHECK_S)
         await self.close_all_connections()
 
+    async def close_all_connections(self) -> None:
+        """Close all connections and wait until their requests are no longer handled."""
+        if self._slow_check is not None:
+            self._slow_check.cancel()
+            self._slow_check = None
+        await super().close_all_connections()
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -128,6 +140,7 @@
             client.handling = False
             self._order.add_used(client)
         client.has_headers = False
+        client.unread_since = None
         delegate = super().start_request(server_conn, request_conn)
         return BoundedRequest(delegate, client, self._limits.max_body_bytes)
 
@@ -182,6 +195,8 @@
         self._clients[client.stream] = client
         self._order.add_new(client)
         self._usage.connections[self._name] += 1
+        if self._slow_check is None:
+            self._schedule_slow_check()
         self.handle_stream(client.stream, address)
 
     def _evict_connection(self, reason: Refusal) -> bool:
@@ -219,6 +234,26 @@
         log = self._usage.refusal_log
         log.record(self._name, refusal, address, 0, len(self._clients))
 
+    def _schedule_slow_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._slow_check = loop.call_later(SLOW_CHECK_S, self._close_slow_clients)
+
+    def _close_slow_clients(self) -> None:
+        """Refuse overdue requests, and close connections whose responses are unread."""
+        now = monotonic_now()
+        self._usage.refuse_overdue()
+        for client in list(self._clients.values()):
+            if not client.stream.writing():
+                client.unread_since = None
+            elif client.unread_since is None:
+                client.unread_since = now
+            elif now - client.unread_since > UNREAD_S:
+                self._record(client, Refusal.UNREAD_RESPONSE)
+                client.stream.close()
+        self._slow_check = None
+        if self._clients:
+            self._schedule_slow_check()
+
 
 def _has_request(client: Client) -> bool:
     stream = client.stream
--- a/libs/endivetally-http/src/endivetally_http/usage.py
+++ b/libs/endivetally-http/src/endivetally_http/usage.py
@@ -60,6 +60,11 @@
         for client in self.incomplete.select_victims(monotonic_now()):
             client.refuse(Refusal.NO_MEMORY)
 
+    def refuse_overdue(self) -> None:
+        """Refuse the requests that arrive too slowly."""
+        for client in self.incomplete.find_overdue(monotonic_now()):
+            client.refuse(Refusal.TOO_SLOW)
+
     def add_metrics(self, metrics: Metrics) -> None:
         """Expose the refusals, the connections and the bytes that clients hold."""
         metrics.add_counter(
