--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -80,6 +80,11 @@
     await check_crowd(tmp_path, 'callers', crowd, Limits())
 
 
+async def test_malformed_bodies_within_the_limit_do_not_take_the_process(tmp_path):
+    crowd = Crowd('malformed_steps', 40, rounds=5, announced=150_000)
+    await check_crowd(tmp_path, 'callers', crowd, Limits())
+
+
 async def test_large_forms_are_not_parsed(tmp_path):
     crowd = Crowd('form_body', 12, rounds=2, announced=1_400_000)
     await check_crowd(tmp_path, 'callers', crowd, Limits())
