Bound what one absurd estimate says about later tasks

Cause: the ratio of actual to declared times is learned per queue. A tiny declared time makes it infinite, and one such ratio stays in the mean. The mean run time began with the first declared time.

Ratios are learned between 1/100 and 100; beyond that they say nothing about the next task. The mean begins with the first run time that was observed.

Evidence: `test_tiny_estimate_does_not_stop_a_queue` and the four rows of the predictor's test failed before and pass. The crowd of huge estimates passes before and after, as an idle fleet has no queue to wait in; it is a guard.

--- a/libs/endivetally-policy/src/endivetally_policy/held/prediction.py
+++ b/libs/endivetally-policy/src/endivetally_policy/held/prediction.py
@@ -6,6 +6,9 @@
 # declared times differ from actual ones by some tens of percent. Actual times differ
 # as much from the mean of their kind, so both have the same weight.
 DECLARED_WEIGHT = 0.5
+# Greatest ratio of actual to declared times, and its inverse the smallest. Others say
+# nothing about the next task of the kind.
+MAX_RATIO = 100.0
 
 
 class RunTimePredictor:
@@ -42,8 +45,10 @@
         """
         run_s /= rate
         if kind not in self._means:
-            self._means[kind] = RunTimeEstimate(declared_s)
+            self._means[kind] = RunTimeEstimate(run_s)
             self._ratios[kind] = RunTimeEstimate(1.0)
         self._means[kind].observe(run_s)
         if declared_s > 0:
-            self._ratios[kind].observe(run_s / declared_s)
+            # A quotient by a tiny number may be infinite.
+            ratio = run_s / max(declared_s, run_s / MAX_RATIO)
+            self._ratios[kind].observe(max(ratio, 1 / MAX_RATIO))
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -141,7 +141,15 @@
 
     async def tiny_estimate(self):
         """Send a sound job whose declared run time is tiny."""
-        step = {'count': 1, 'cpu': 100, 'estimateMs': 1e-306}
+        await self.send_estimate(1e-306)
+
+    async def huge_estimate(self):
+        """Send a sound job whose declared run time is a day."""
+        await self.send_estimate(86_400_000)
+
+    async def send_estimate(self, estimate_ms):
+        """Send a job with a declared run time, and read the answer."""
+        step = {'count': 1, 'cpu': 100, 'estimateMs': estimate_ms}
         body = json.dumps({'bestEffort': True, 'spec': 'x', 'steps': [step]}).encode()
         await self.send_headers(f'Content-Length: {len(body)}')
         await self.send(body)
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -120,3 +120,7 @@
 
 async def test_tiny_estimate_does_not_stop_a_queue(tmp_path):
     await check_crowd(tmp_path, 'callers', Crowd('tiny_estimate', 3), Limits())
+
+
+async def test_huge_estimate_does_not_stop_a_queue(tmp_path):
+    await check_crowd(tmp_path, 'callers', Crowd('huge_estimate', 3), Limits())
--- a/tests/policy/held/test_decisions.py
+++ b/tests/policy/held/test_decisions.py
@@ -172,3 +172,11 @@
 
     def test_prediction_without_a_declared_time_is_positive(self):
         assert RunTimePredictor().predict('lookup', 0) > 0
+
+    @pytest.mark.parametrize('declared_s', [5e-324, 1e-303, 1e-9, 86_400])
+    def test_one_absurd_estimate_says_little_about_later_tasks(self, declared_s):
+        predictor = RunTimePredictor()
+        predictor.observe('lookup', declared_s, 0.02)
+        for _ in range(20):
+            predictor.observe('lookup', 0.02, 0.02)
+        assert 0.01 < predictor.predict('lookup', 0.02) < 0.1
