Bound connections and incomplete batches at an agent's port for entries

What callers saw: 60 connections that each send a part of a batch of 4 MB took 273 MB of an agent's 128 MB; 600 silent ones took 355 of 400 descriptors. Callers' addresses are others, so only a process in the fleet's network reaches this port.

Cause: whoever connects may send a batch of 4 MB before it says who it is, without a limit for the sum or for the connections. Silent ones are closed after 0.6 s, but asyncio accepts hundreds meanwhile.

The oldest connection without a first message is closed for a new one; entries keep theirs. Incomplete batches may hold an eighth of `memoryMb` together; above that those are closed that held most for longest. Both are counted and logged as `client_refused` of the server `entries`.

`tests/held/test_agent_port.py` read the port from a private attribute of the former server; it takes it from `ports` now, and its checks are unchanged.

--- a/libs/endivetally-held/src/endivetally_held/agent.py
+++ b/libs/endivetally-held/src/endivetally_held/agent.py
@@ -12,6 +12,9 @@
 from endivetally_core.clock import monotonic_now
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
+from endivetally_http import ClientUsage
+from endivetally_http import EventRefusalLog
+from endivetally_policy.clients import ProcessLimits
 from endivetally_policy.held import Resources
 from endivetally_policy.held import RunEnd
 from endivetally_policy.held.resources import NO_RESOURCES
@@ -68,6 +71,7 @@
     :param client_factory: creates the client of the target from its report.
     :param max_report_age_s: seconds for which a report tells the target's capacity;
         nothing is started after that until the next one.
+    :param client_usage: what the clients of the process hold together.
     """
 
     def __init__(
@@ -78,9 +82,12 @@
         events: EventLog,
         clock: Callable[[], float] = monotonic_now,
         max_report_age_s: float = MAX_REPORT_AGE_S,
+        client_usage: ClientUsage | None = None,
     ) -> None:
         hello = AgentHello(incarnation, data_centre)
-        self.entry_server = EntryServer(hello, self, events, clock)
+        if client_usage is None:
+            client_usage = ClientUsage(ProcessLimits(), EventRefusalLog(events))
+        self.entry_server = EntryServer(hello, self, events, clock, client_usage)
         self.evacuation = AgentEvacuation(data_centre, events, self.capacity_changed)
         self._history = InstanceHistory(clock)
         self._client_factory = InstanceClientFactory(client_factory, self._history)
--- a/libs/endivetally-held/src/endivetally_held/channel.py
+++ b/libs/endivetally-held/src/endivetally_held/channel.py
@@ -57,6 +57,12 @@
         :raises MalformedMessage: to close the channel.
         """
 
+    def batch_incomplete(self, channel: 'Channel', size: int) -> None:
+        """Handle that a part of a batch has arrived.
+
+        :param size: bytes of the part so far; 0 once there is none.
+        """
+
     @abstractmethod
     def channel_closed(self, channel: 'Channel', reason: str) -> None:
         """Handle the end of a connection; called once, whoever has closed it."""
@@ -126,6 +132,8 @@
             self.close(str(error))
         except MalformedMessage as error:
             self.close(f'malformed: {error}')
+        if self._transport is not None:
+            self._handler.batch_incomplete(self, len(self._received))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of a connection that this side has not closed."""
@@ -154,6 +162,7 @@
             return
         self._transport = None
         self._outbox.clear()
+        self._received.clear()
         transport.abort()
         self._handler.channel_closed(self, reason)
 
--- a/libs/endivetally-held/src/endivetally_held/entry_server.py
+++ b/libs/endivetally-held/src/endivetally_held/entry_server.py
@@ -1,17 +1,25 @@
 """Server of an agent that accepts the connections of entries."""
 
 import asyncio
+import socket
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any
+from typing import Final
 
 from endivetally_core.clock import PauseDetector
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import MalformedMessage
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
+from endivetally_core.listener import Listener
+from endivetally_http import ClientUsage
+from endivetally_http import Refusal
+from endivetally_policy.clients import IncompleteRequests
+from tornado.netutil import bind_sockets
 
 from endivetally_held.channel import Channel
 from endivetally_held.channel import ChannelHandler
@@ -19,6 +27,9 @@
 from endivetally_held.messages import AnyHeldMessage
 from endivetally_held.messages import EntryHello
 
+# Name of the server in logs and metrics.
+SERVER_NAME: Final = 'entries'
+
 
 @dataclass(slots=True, eq=False)
 class EntryPeer:
@@ -54,7 +65,12 @@
 class EntryServer(ChannelHandler):
     """Accepts entries and keeps one connection to each.
 
+    Whoever connects can't take more than its share of the process: connections without
+    a first message are closed for new ones, and those with the largest incomplete
+    messages when all of these take too much memory.
+
     :param hello: first message to each entry.
+    :param usage: what the clients of the process hold together.
     """
 
     def __init__(
@@ -63,13 +79,20 @@
         listener: EntryListener,
         events: EventLog,
         clock: Callable[[], float],
+        usage: ClientUsage,
     ) -> None:
         self._hello = hello
         self._listener = listener
         self._events = events
         self._clock = clock
         self._pause_detector = PauseDetector(clock=clock)
-        self._server: asyncio.Server | None = None
+        self._usage = usage
+        self._accepting = Listener(self._accept, self._report_failure)
+        self._incomplete: IncompleteRequests[Channel] = IncompleteRequests(
+            usage.limits.max_incomplete_bytes
+        )
+        # Connections that have no channel yet.
+        self._opening: set[asyncio.Task[Any]] = set()
         # Peers by their channel; ``None`` until the first message has arrived.
         self._channels: dict[Channel, EntryPeer | None] = {}
         self._peers: dict[str, EntryPeer] = {}
@@ -82,10 +105,15 @@
         """Iterate over a copy of the connected entries."""
         return iter(tuple(self._peers.values()))
 
+    @property
+    def ports(self) -> list[int]:
+        """Ports on which connections are accepted."""
+        return self._accepting.ports
+
     async def listen(self, port: int, host: str) -> None:
         """Start to accept connections."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.create_channel, host, port)
+        for listening in bind_sockets(port, host):
+            self._accepting.add(listening)
 
     def create_channel(self) -> Channel:
         """Return the channel of a new connection."""
@@ -114,8 +142,9 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._accepting.close()
+        for opening in self._opening:
+            opening.cancel()
         self._close_channels('closing')
 
     def channel_opened(self, channel: Channel) -> None:
@@ -135,8 +164,18 @@
                 raise LinkClosed('paused')
             self._listener.message_received(peer, message)
 
+    def batch_incomplete(self, channel: Channel, size: int) -> None:
+        """Close the channels that take the most memory when all take too much."""
+        self._incomplete.remove(channel)
+        if size:
+            self._incomplete.add(channel, size, self._clock())
+        for victim in self._incomplete.select_victims(self._clock()):
+            self._record(Refusal.NO_MEMORY, size=self._incomplete.size(victim))
+            victim.close('too much incomplete data')
+
     def channel_closed(self, channel: Channel, reason: str) -> None:
         """Forget an entry that is no longer connected."""
+        self._incomplete.remove(channel)
         peer = self._channels.pop(channel, None)
         if peer is None:
             return
@@ -150,6 +189,36 @@
         )
         self._listener.entry_disconnected(peer)
 
+    def _accept(self, connection: socket.socket, address: tuple[Any, ...]) -> None:
+        count = len(self._channels) + len(self._opening)
+        if count >= self._usage.limits.max_peers:
+            self._record(Refusal.TOO_MANY_CONNECTIONS, address=address[0])
+            if not self._close_unknown():
+                connection.close()
+                return
+        loop = asyncio.get_running_loop()
+        opening = loop.create_task(
+            loop.connect_accepted_socket(self.create_channel, connection)
+        )
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
+    def _close_unknown(self) -> bool:
+        """Close the oldest connection without a first message, if there is one."""
+        for channel, peer in self._channels.items():
+            if peer is None:
+                channel.close('too many connections')
+                return True
+        return False
+
+    def _report_failure(self) -> None:
+        self._record(Refusal.ACCEPT_FAILED)
+        self._close_unknown()
+
+    def _record(self, refusal: Refusal, address: str = '', size: int = 0) -> None:
+        log = self._usage.refusal_log
+        log.record(SERVER_NAME, refusal, address, size, len(self._channels))
+
     def _add_entry(self, batch: list[AnyHeldMessage], channel: Channel) -> EntryPeer:
         hello = batch[0] if batch else None
         if not isinstance(hello, EntryHello):
--- a/tests/held/test_agent_port.py
+++ b/tests/held/test_agent_port.py
@@ -15,6 +15,9 @@
 from endivetally_held.messages import AgentHello
 from endivetally_held.messages import EntryHello
 from endivetally_held.metrics import EntryMetrics
+from endivetally_http import ClientUsage
+from endivetally_http import EventRefusalLog
+from endivetally_policy.clients import ProcessLimits
 from endivetally_standins.held_target import HeldTargetStandIn
 from endivetally_standins.held_target import RunHistory
 from endivetally_standins.held_target import StandInClientFactory
@@ -68,16 +71,17 @@
 
 
 @asynccontextmanager
-async def serve_agent():
+async def serve_agent(limits=None):
     """Yield an agent with a target, its event log and its address on loopback."""
     events = EventLog('test', 'test', write=lambda lines: None)
+    usage = ClientUsage(limits or ProcessLimits(), EventRefusalLog(events))
     factory = StandInClientFactory()
     history = RunHistory(lambda task: 0.05, lambda task: NEED)
     target = HeldTargetStandIn('target-1', CAPACITY, history)
     factory.targets['target-1'] = target
-    async with HeldAgent('agent.1', 'dc', factory, events) as agent:
+    async with HeldAgent('agent.1', 'dc', factory, events, client_usage=usage) as agent:
         await agent.entry_server.listen(0, '127.0.0.1')
-        port = agent.entry_server._server.sockets[0].getsockname()[1]
+        (port,) = agent.entry_server.ports
         agent.apply_report(target.create_next_report())
         yield agent, events, Address('127.0.0.1', port)
 
@@ -149,3 +153,49 @@
         await agent[0].entry_server.listen(port, '127.0.0.1')
         await wait_until(lambda: entry.connections.peers)
         assert list(entry.connections.peers) == ['agent.1']
+
+
+async def test_connections_without_a_message_are_closed_for_new_ones():
+    async with AsyncExitStack() as stack:
+        # Four connections.
+        limits = ProcessLimits(max_descriptors=216)
+        agent, events, address = await stack.enter_async_context(serve_agent(limits))
+        streams = [
+            await asyncio.open_connection(address.host, address.port) for _ in range(20)
+        ]
+        _, newest = streams[-1]
+        newest.write(frame(EntryHello('entry.9', 'dc')))
+        await wait_until(lambda: agent.entry_server.find_entry('entry.9') is not None)
+        assert len(agent.entry_server._channels) <= 4
+        assert events.event_counts['client_refused'] == 1
+        for _, each in streams:
+            each.close()
+
+
+async def test_incomplete_batches_keep_within_their_part_of_the_memory():
+    async with AsyncExitStack() as stack:
+        # An eighth of it is for incomplete batches.
+        limits = ProcessLimits(memory_mb=8)
+        _, events, address = await stack.enter_async_context(serve_agent(limits))
+        part = HEADER.pack(900_000, 0, 0) + b'x' * 500_000
+        streams = []
+        for _ in range(4):
+            stream = await asyncio.open_connection(address.host, address.port)
+            streams.append(stream)
+            stream[1].write(part)
+        await wait_until(lambda: events.event_counts['client_refused'])
+        for _, each in streams:
+            each.close()
+
+
+async def test_entry_keeps_its_connection_beside_a_flood_of_others():
+    async with AsyncExitStack() as stack:
+        limits = ProcessLimits(max_descriptors=216)
+        agent, _, address = await stack.enter_async_context(serve_agent(limits))
+        entry, _ = await connect_entry(stack, address)
+        await wait_until(lambda: agent.entry_server.find_entry('entry.1') is not None)
+        (peer,) = agent.entry_server
+        for _ in range(20):
+            await send(address, b'')
+        assert agent.entry_server.find_entry('entry.1') is peer
+        assert entry.connections.peers
