--- a/tests/adapter/test_http_client.py
+++ b/tests/adapter/test_http_client.py
@@ -77,6 +77,19 @@
         assert body == b'{}'
 
 
+@pytest.mark.parametrize(
+    'head', [b'Content-Length: 99999999', b'Transfer-Encoding: chunked'], ids=str
+)
+async def test_response_over_the_limit_is_abandoned(head):
+    chunk = b'100000\r\n%b\r\n' % (b'x' * 2**20)
+    large = b'HTTP/1.1 200 OK\r\n%b\r\n\r\n%b' % (head, chunk * 17)
+    async with serve_responses(large) as (server, client):
+        with pytest.raises(NoResponse, match='over 16777216 bytes'):
+            await client.request('GET', '/path', timeout_s=5)
+        response = await client.request('GET', '/path', timeout_s=5)
+        assert (response.status, server.connections) == (200, 2)
+
+
 async def test_query_and_headers_are_sent():
     async with serve_responses() as (server, client):
         query = {'from': 'a b', 'to': '\U0010ffff'}
