Give the keyed daemons' HTTP servers the same limits

The entry and the agent of the older path used tornado's server with its defaults: an entry buffered eight times `max_body_bytes` for each connection (64 MB), an agent 100 MB, without limits for sum, connections or time, as the platform's programs did.

Both use `BoundedServer`. The limits follow from the new settings `memory_mb` (512) and `max_descriptors` (4,096) of an entry, with room for two bodies of the greatest length; callers' bodies keep `max_body_bytes`, and operators and entries 1 MB at least. A refused request gets the error of the API: `body_too_large`, `malformed_request` or `overloaded`, with `"ran": "not_run"`. An agent, which only its target reaches, has fixed limits.

Evidence: a body of 1.5 MB for a limit of 100 kB got a response that is no error of the API before (the new row of `test_http.py` failed), and 413 now. No crowd was sent to these daemons.

--- a/libs/endivetally-agent/src/endivetally_agent/agent.py
+++ b/libs/endivetally-agent/src/endivetally_agent/agent.py
@@ -23,9 +23,12 @@
 from endivetally_core.metrics import Metrics
 from endivetally_core.metrics import render_metrics
 from endivetally_core.shaping import RuleShaper
+from endivetally_http import BoundedServer
+from endivetally_http import ClientUsage
+from endivetally_http import LibraryRefusalLog
+from endivetally_policy.clients import ProcessLimits
 from endivetally_table.http import HttpTable
 from endivetally_table.table import Table
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from endivetally_agent.admission import AdmissionState
@@ -221,7 +224,13 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         listen = self._settings.listen
         sockets = bind_sockets(listen.port, listen.host)
-        server = HTTPServer(make_application(self, self._shaper))
+        limits = ProcessLimits()
+        server = BoundedServer(
+            make_application(self, self._shaper),
+            'target',
+            limits.side_server,
+            ClientUsage(limits, LibraryRefusalLog()),
+        )
         server.add_sockets(sockets)
         stack.push_async_callback(server.close_all_connections)
         stack.callback(server.stop)
--- a/libs/endivetally-config/src/endivetally_config/settings.py
+++ b/libs/endivetally-config/src/endivetally_config/settings.py
@@ -13,6 +13,8 @@
 BodyBytes = Annotated[int, msgspec.Meta(ge=1, le=64 * 1024 * 1024)]
 WritesPerSecond = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 Megabytes = Annotated[int, msgspec.Meta(ge=1, le=1024)]
+ProcessMegabytes = Annotated[int, msgspec.Meta(ge=64, le=1_048_576)]
+Descriptors = Annotated[int, msgspec.Meta(ge=256, le=1_048_576)]
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -27,6 +29,9 @@
         the server listens; empty for none.
     :param allow_shaping: whether ``/internal/shaping`` may inject faults into
         links, for benchmarks and scenarios.
+    :param memory_mb: memory of the process; what clients may hold of it follows from
+        this, and from the longest body.
+    :param max_descriptors: open descriptors of the process.
     :param key_retention_s: seconds for which idempotency keys, journal records and
         former owners of shards are kept.
     :param key_memory_mb: limit for the stored bodies of successful responses.
@@ -46,6 +51,8 @@
     allow_shaping: bool = False
     log_level: LogLevel = 'INFO'
     max_body_bytes: BodyBytes = 8 * 1024 * 1024
+    memory_mb: ProcessMegabytes = 512
+    max_descriptors: Descriptors = 4096
     key_retention_s: Seconds = 900
     key_memory_mb: Megabytes = 64
     table_writes_per_s: WritesPerSecond = 250
--- a/libs/endivetally-entry/src/endivetally_entry/entry.py
+++ b/libs/endivetally-entry/src/endivetally_entry/entry.py
@@ -40,7 +40,6 @@
 from endivetally_table.entries import EntryRegistry
 from endivetally_table.http import HttpTable
 from endivetally_table.journal import Journal
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from endivetally_entry.acknowledgements import AcknowledgementBatcher
@@ -58,13 +57,10 @@
 from endivetally_entry.peering import PeerProtocol
 from endivetally_entry.recovery import RequestRecovery
 from endivetally_entry.request_router import RequestRouter
-from endivetally_entry.routes import make_application
+from endivetally_entry.server import create_server
 
 _log = logging.getLogger(__name__)
 
-# The HTTP server accepts bodies of this many times the limit, so that a body over
-# the limit gets the error of the API. Tornado rejects larger ones itself.
-TRANSPORT_BODY_FACTOR = 8
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -217,10 +213,7 @@
     def _listen(self) -> EntryIdentity:
         address = self.settings.listen
         sockets = bind_sockets(address.port, address.host)
-        self.server = HTTPServer(
-            make_application(self),
-            max_body_size=self.settings.max_body_bytes * TRANSPORT_BODY_FACTOR,
-        )
+        self.server = create_server(self)
         self.server.add_sockets(sockets)
         return EntryIdentity(
             self.settings.name,
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -129,6 +129,7 @@
     'no task': (SWEEPS, _job_body(0), KEY, 422, 'job_size'),
     '1,801 tasks': (SWEEPS, _job_body(1801), KEY, 422, 'job_size'),
     'body too large': (LOOKUPS, b'x' * (MAX_BODY + 1), {}, 413, 'body_too_large'),
+    'body far too large': (LOOKUPS, b'x' * 1_500_000, {}, 413, 'body_too_large'),
     'missing key': (SWEEPS, _job_body(1), {}, 400, 'missing_key'),
     'long key': (
         SWEEPS,
