Bound the tasks of all open jobs of an entry

Cause: admission counts work, of which such jobs have next to none, and each dispatch looks at all waiting tasks. Only the connections bounded the number of jobs.

An entry holds as many tasks as an eighth of `memoryMb` does at 1 KB each, twice the largest job at least: 16,384 on the smallest machine in force, 38,400 on 300 MB. A job may take half of what is free, so that ordinary ones are admitted beside large ones. Others are refused at once with 503, `too_many_tasks` and `Retry-After`; nothing of them has run. At the size to design for an entry holds some thousands.

Evidence: `test_tasks_of_open_jobs_are_bounded` failed before (no answer within 60 s) and passes in 4 s; a unit test and the table of limits.

--- a/libs/endivetally-held/src/endivetally_held/admission.py
+++ b/libs/endivetally-held/src/endivetally_held/admission.py
@@ -2,12 +2,14 @@
 
 import random
 from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import Final
 
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
+from endivetally_policy.clients import OpenTaskLimit
 from endivetally_policy.held import AdmissionVerdict
 from endivetally_policy.held import Competition
 from endivetally_policy.held import HeldAdmissionPolicy
@@ -31,6 +33,8 @@
 # Seconds; the caller can turn to another entry at once.
 DRAIN_RETRY_S: Final = 1
 NO_WORK: Final = Work(0, 0)
+# Reason of a job that is refused because the entry holds too many tasks.
+TOO_MANY_TASKS: Final = 'too_many_tasks'
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,7 @@
     :param rng: spreads the retries of refused callers.
     :param competition: tells which services compete, and learns their work.
     :param containment: tells which services are confined to few targets.
+    :param task_limit: bounds the tasks of all open jobs.
     """
 
     def __init__(
@@ -72,22 +77,27 @@
         rng: random.Random,
         competition: Competition,
         containment: CrashContainment,
+        task_limit: OpenTaskLimit,
     ) -> None:
         self._connections = connections
         self._containment = containment
+        self._task_limit = task_limit
         self._events = events
         self._random = rng
         self._controller = HeldAdmissionPolicy()
         self._competition = competition
 
     def decide(
-        self, open_job: OpenJob, others: Iterable[OpenJob], time_left_s: float
+        self, open_job: OpenJob, others: Sequence[OpenJob], time_left_s: float
     ) -> AdmissionResult:
         """Admit or refuse a job, and displace the queued jobs that it delays too long.
 
         :param others: open jobs that were admitted before.
         :param time_left_s: seconds until the process ends.
         """
+        open_tasks = sum(len(other.tasks) for other in others)
+        if not self._task_limit.admits(open_tasks, len(open_job.tasks)):
+            return self._refuse_tasks(open_job, open_tasks)
         service = open_job.service.name
         now = open_job.arrived_at
         self._competition.record_offered(service, open_job.total_core_s, now)
@@ -227,6 +237,22 @@
         )
         return AdmissionResult(JobResponse(JobResult.REFUSED, reason, retry_after_s))
 
+    def _refuse_tasks(self, open_job: OpenJob, open_tasks: int) -> AdmissionResult:
+        """Refuse a job because the entry holds too many tasks."""
+        retry_after_s = 1 + int(self._random.random() * RETRY_SPREAD_S)
+        self._events.emit(
+            Event.JOB_REFUSED,
+            job=open_job.job.identifier,
+            service=open_job.service.name,
+            priority=open_job.service.priority,
+            reason=TOO_MANY_TASKS,
+            tasks=len(open_job.tasks),
+            open_tasks=open_tasks,
+            retry_after_s=retry_after_s,
+        )
+        response = JobResponse(JobResult.REFUSED, TOO_MANY_TASKS, retry_after_s)
+        return AdmissionResult(response)
+
     def _report_admitted(self, open_job: OpenJob, wait_s: float) -> None:
         self._events.emit(
             Event.JOB_RECEIVED,
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -17,6 +17,7 @@
 from endivetally_core.clock import monotonic_now
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
+from endivetally_policy.clients import OpenTaskLimit
 from endivetally_policy.held import CompetingService
 from endivetally_policy.held import Competition
 from endivetally_policy.held import NextAction
@@ -69,6 +70,7 @@
 # Ended jobs whose run numbers are remembered: 20 s at 100 jobs a second. A resent job
 # arrives within a few seconds of the end of the first copy.
 REMEMBERED_JOBS: Final = 2000
+DEFAULT_TASK_LIMIT: Final = OpenTaskLimit(20_000)
 # Reasons of failed jobs.
 ATTEMPTS_USED: Final = 'attempts_used'
 CRASHES_TARGETS: Final = 'crashes_targets'
@@ -81,6 +83,7 @@
     :param seed: seed of the random times after which refused callers retry.
     :param connect: opens connections to agents.
     :param cold_overage: expected run time on a cold target relative to a warm one.
+    :param task_limit: bounds the tasks of all open jobs.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         seed: int | None = None,
         connect: Connect | None = None,
         cold_overage: float = 1.0,
+        task_limit: OpenTaskLimit = DEFAULT_TASK_LIMIT,
     ) -> None:
         self.config = VersionedConfig(0, OperatorConfig((), ()))
         self.connections = AgentConnections(
@@ -111,6 +115,7 @@
             self._random,
             self._competition,
             self.containment,
+            task_limit,
         )
         self._pause_detector = PauseDetector(clock=clock)
         self._run_time_predictor = RunTimePredictor()
--- a/libs/endivetally-policy/src/endivetally_policy/clients/__init__.py
+++ b/libs/endivetally-policy/src/endivetally_policy/clients/__init__.py
@@ -5,6 +5,7 @@
 from endivetally_policy.clients.limits import HEADER_BYTES
 from endivetally_policy.clients.limits import ProcessLimits
 from endivetally_policy.clients.limits import ServerLimits
+from endivetally_policy.clients.open_tasks import OpenTaskLimit
 from endivetally_policy.clients.order import EvictionOrder
 
 __all__ = (
@@ -12,6 +13,7 @@
     'HEADER_BYTES',
     'EvictionOrder',
     'IncompleteRequests',
+    'OpenTaskLimit',
     'ProcessLimits',
     'ServerLimits',
 )
--- a/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
+++ b/libs/endivetally-policy/src/endivetally_policy/clients/limits.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from endivetally_policy.clients.open_tasks import OpenTaskLimit
+
 BYTES_PER_MB: Final = 1024 * 1024
 # Descriptors that the platform keeps for files.
 FILE_DESCRIPTORS: Final = 200
@@ -12,9 +14,12 @@
 # Memory that a connection may take besides the bytes of an incomplete request: the
 # objects, a part of the next request in the process, and another one in the kernel.
 CONNECTION_BYTES: Final = 48 * 1024
-# Parts of the memory for incomplete requests and for connections. A process that has
-# no clients uses less than a third of the smallest machine.
+# Memory that a task of an open job takes, with its share of the job.
+TASK_BYTES: Final = 1024
+# Parts of the memory for incomplete requests, for tasks and for connections. A process
+# that has no clients uses less than a third of the smallest machine.
 INCOMPLETE_PART: Final = 1 / 8
+TASK_PART: Final = 1 / 8
 CONNECTION_PART: Final = 1 / 4
 # Parts of the descriptors for callers and for each listener that callers don't use.
 # The rest is for connections to the store, to targets, and between processes.
@@ -56,6 +61,11 @@
         """Bytes that all incomplete requests of the process may hold together."""
         return int(self.memory_mb * BYTES_PER_MB * INCOMPLETE_PART)
 
+    def open_tasks(self, max_tasks_per_job: int) -> OpenTaskLimit:
+        """Return the limit of tasks, which admits at least one job of any size."""
+        by_memory = int(self.memory_mb * BYTES_PER_MB * TASK_PART / TASK_BYTES)
+        return OpenTaskLimit(max(by_memory, 2 * max_tasks_per_job))
+
     @property
     def max_sockets(self) -> int:
         """Number of descriptors that are left for sockets and pipes."""
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -111,9 +111,17 @@
 
     async def long_job(self):
         """Send a sound job that goes on, in a body that is padded with spaces."""
+        await self.send_job({'count': 1, 'cpu': 100, 'estimateMs': 60_000})
+
+    async def waiting_tasks(self):
+        """Send a job of the largest number of tasks, all but one of which wait."""
+        first = {'count': 1, 'cpu': 1, 'estimateMs': 1}
+        await self.send_job(first, {**first, 'count': 1799, 'after': [0]})
+
+    async def send_job(self, *steps):
+        """Send a sound job that goes on."""
         job_id = f'f{id(self):015x}'
-        step = {'count': 1, 'cpu': 100, 'estimateMs': 60_000}
-        job = {'bestEffort': True, 'spec': 'x', 'steps': [step]}
+        job = {'bestEffort': True, 'spec': 'x', 'steps': steps}
         body = json.dumps(job).encode().ljust(self.crowd.announced)
         await self.send_headers(
             f'Content-Length: {len(body)}',
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -95,6 +95,11 @@
     await check_crowd(tmp_path, 'callers', crowd, Limits())
 
 
+async def test_tasks_of_open_jobs_are_bounded(tmp_path):
+    crowd = Crowd('waiting_tasks', 200, path='/lookup/')
+    await check_crowd(tmp_path, 'callers', crowd, Limits())
+
+
 @pytest.mark.parametrize('address', sorted(PORTS))
 async def test_connections_that_send_nothing_keep_no_one_out(tmp_path, address):
     await check_crowd(tmp_path, address, Crowd('silent', 600), Limits(max_fds=400))
--- a/tests/held/test_entry.py
+++ b/tests/held/test_entry.py
@@ -5,6 +5,7 @@
 import pytest
 from differential.clock import run_virtually
 from endivetally_held.jobs import JobResult
+from endivetally_policy.clients import OpenTaskLimit
 from endivetally_policy.held import Resources
 from held.cluster import Cluster
 from held.cluster import job
@@ -281,3 +282,22 @@
         await asyncio.sleep(15)
 
     run_scenario(scenario)
+
+
+def test_job_with_too_many_tasks_beside_the_open_ones_is_refused_at_once():
+    async def scenario(cluster):
+        entry = cluster.entries['entry-0']
+        entry._admission._task_limit = OpenTaskLimit(16)
+        large = asyncio.ensure_future(cluster.submit('entry-0', job('a', count=8)))
+        await asyncio.sleep(0.01)
+        refused = await cluster.submit('entry-0', job('b', count=5))
+        assert (refused.result, refused.reason) == (JobResult.REFUSED, 'too_many_tasks')
+        assert refused.retry_after_s > 0
+        for response in (
+            await cluster.submit('entry-0', job('c', count=4)),
+            await large,
+        ):
+            assert response.result is JobResult.COMPLETED
+        assert {run.task.job for run in cluster.run_history.runs} == {'a', 'c'}
+
+    run_scenario(scenario)
--- a/tests/policy/clients/test_limits.py
+++ b/tests/policy/clients/test_limits.py
@@ -4,6 +4,7 @@
 from endivetally_policy.clients import CONNECTION_BYTES
 from endivetally_policy.clients import HEADER_BYTES
 from endivetally_policy.clients import ProcessLimits
+from endivetally_policy.clients.limits import TASK_BYTES
 
 MEGABYTE = 1024 * 1024
 # Resident memory of an entry without clients.
@@ -20,7 +21,8 @@
     callers = limits.caller_server(1_000_000).max_connections
     side = 2 * limits.side_server.max_connections
     connections = (callers + side) * CONNECTION_BYTES
-    held = limits.max_incomplete_bytes + connections
+    tasks = limits.open_tasks(1800).max_tasks * TASK_BYTES
+    held = limits.max_incomplete_bytes + connections + tasks
     assert held + BASE_MB * MEGABYTE <= memory_mb * MEGABYTE
 
 
@@ -37,6 +39,7 @@
     assert limits.caller_server(1).max_connections == 1
     assert limits.side_server.max_connections == 1
     assert limits.max_peers == 1
+    assert limits.open_tasks(1800).admits(0, 1800)
 
 
 def test_callers_have_hundreds_of_connections_on_the_smallest_machine():
