Drop the constructor that only repeated the parameters of its server

tornado calls `initialize` with the arguments of the constructor, so the empty `__init__` with the same nine lines had no use.

--- a/libs/endivetally-http/src/endivetally_http/server.py
+++ b/libs/endivetally-http/src/endivetally_http/server.py
@@ -62,16 +62,6 @@
     :param encode_body: returns the JSON body of the response to a refused request.
     """
 
-    def __init__(
-        self,
-        application: Application,
-        name: str,
-        limits: ServerLimits,
-        usage: ClientUsage,
-        encode_body: Callable[[Refusal], bytes] = encode_refusal_body,
-    ) -> None:
-        """Create the server; tornado calls ``initialize`` with the same arguments."""
-
     def initialize(  # type: ignore[override]
         self,
         application: Application,
