Refuse a job with too many tasks before they are created

After 0.96 s the entry took itself for paused and gave up its agents. The number of tasks is now compared before they are created.

--- a/libs/endivetally-held/src/endivetally_held/admission.py
+++ b/libs/endivetally-held/src/endivetally_held/admission.py
@@ -2,11 +2,11 @@
 
 import random
 from collections.abc import Iterable
-from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import Final
 
+from endivetally_config.operator_config import Service
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
 from endivetally_policy.clients import OpenTaskLimit
@@ -23,6 +23,7 @@
 
 from endivetally_held.agent_connections import AgentConnections
 from endivetally_held.containment import CrashContainment
+from endivetally_held.jobs import HeldJob
 from endivetally_held.jobs import JobResponse
 from endivetally_held.jobs import JobResult
 from endivetally_held.open_job import OpenJob
@@ -88,16 +89,13 @@
         self._competition = competition
 
     def decide(
-        self, open_job: OpenJob, others: Sequence[OpenJob], time_left_s: float
+        self, open_job: OpenJob, others: Iterable[OpenJob], time_left_s: float
     ) -> AdmissionResult:
         """Admit or refuse a job, and displace the queued jobs that it delays too long.
 
         :param others: open jobs that were admitted before.
         :param time_left_s: seconds until the process ends.
         """
-        open_tasks = sum(len(other.tasks) for other in others)
-        if not self._task_limit.admits(open_tasks, len(open_job.tasks)):
-            return self._refuse_tasks(open_job, open_tasks)
         service = open_job.service.name
         now = open_job.arrived_at
         self._competition.record_offered(service, open_job.total_core_s, now)
@@ -123,6 +121,33 @@
             return AdmissionResult()
         return AdmissionResult(displaced=self._find_displaced(open_job, others, load))
 
+    def find_task_refusal(
+        self, job: HeldJob, service: Service, others: Iterable[OpenJob]
+    ) -> JobResponse | None:
+        """Return the refusal of a job for which too many tasks are open, if they are.
+
+        It is found before the tasks of the job are created, which takes milliseconds
+        for a large one.
+
+        :param others: open jobs that were admitted before.
+        """
+        task_count = sum(step.count for step in job.steps)
+        open_tasks = sum(len(other.tasks) for other in others)
+        if self._task_limit.admits(open_tasks, task_count):
+            return None
+        retry_after_s = 1 + int(self._random.random() * RETRY_SPREAD_S)
+        self._events.emit(
+            Event.JOB_REFUSED,
+            job=job.identifier,
+            service=service.name,
+            priority=service.priority,
+            reason=TOO_MANY_TASKS,
+            tasks=task_count,
+            open_tasks=open_tasks,
+            retry_after_s=retry_after_s,
+        )
+        return JobResponse(JobResult.REFUSED, TOO_MANY_TASKS, retry_after_s)
+
     def find_retry_after_s(self, open_job: OpenJob, now: float) -> int:
         """Return when the caller of a queued job that is given up may retry."""
         jitter = self._random.random()
@@ -237,22 +262,6 @@
         )
         return AdmissionResult(JobResponse(JobResult.REFUSED, reason, retry_after_s))
 
-    def _refuse_tasks(self, open_job: OpenJob, open_tasks: int) -> AdmissionResult:
-        """Refuse a job because the entry holds too many tasks."""
-        retry_after_s = 1 + int(self._random.random() * RETRY_SPREAD_S)
-        self._events.emit(
-            Event.JOB_REFUSED,
-            job=open_job.job.identifier,
-            service=open_job.service.name,
-            priority=open_job.service.priority,
-            reason=TOO_MANY_TASKS,
-            tasks=len(open_job.tasks),
-            open_tasks=open_tasks,
-            retry_after_s=retry_after_s,
-        )
-        response = JobResponse(JobResult.REFUSED, TOO_MANY_TASKS, retry_after_s)
-        return AdmissionResult(response)
-
     def _report_admitted(self, open_job: OpenJob, wait_s: float) -> None:
         self._events.emit(
             Event.JOB_RECEIVED,
--- a/libs/endivetally-held/src/endivetally_held/entry.py
+++ b/libs/endivetally-held/src/endivetally_held/entry.py
@@ -208,6 +208,12 @@
             service = self._services.get(job.service)
             if service is None:
                 return JobResponse(JobResult.REFUSED, 'no_service', NO_SERVICE_RETRY_S)
+            refusal = self._admission.find_task_refusal(
+                job, service, self._open_jobs.values()
+            )
+            if refusal is not None:
+                self._metrics.count_refusal(service, refusal)
+                return refusal
             open_job = OpenJob(
                 job,
                 service,
--- a/libs/endivetally-held/src/endivetally_held/metrics.py
+++ b/libs/endivetally-held/src/endivetally_held/metrics.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from endivetally_config.operator_config import Service
 from endivetally_core.events import EventLog
 from endivetally_core.metrics import MetricDefinition
 from endivetally_core.metrics import Metrics
@@ -87,6 +88,17 @@
         priority = str(service.priority)
         self._jobs.increment(service.name, priority, self._data_centre, outcome, reason)
 
+    def count_refusal(self, service: Service, refusal: JobResponse) -> None:
+        """Count a job that is refused before its tasks are created."""
+        name = service.name
+        for outcome, reason in (('offered', ''), ('refused', refusal.reason)):
+            self._jobs.increment(
+                name, str(service.priority), self._data_centre, outcome, reason
+            )
+        result = refusal.result.value
+        self._responses.increment(name, self._data_centre, result, refusal.reason)
+        self._response_seconds.observe(0, name, self._data_centre, result)
+
     def count_response(
         self, open_job: 'OpenJob', response: JobResponse, age_s: float
     ) -> None:
