Let the store's stand-in answer as of a single moment

Cause: the stand-in of the review read the rows of an answer of the feed 4 ms before its version, so that a row in between was never seen.

--- a/review/lib-3/stage.py
+++ b/review/lib-3/stage.py
@@ -236,8 +236,9 @@
             ]
             left_s = ends_at - time.monotonic()
             if rows or left_s <= 0:
+                answer = self._answer(rows=rows)
                 await asyncio.sleep(STORE_ANSWER_S)
-                return self._answer(rows=rows)
+                return answer
             try:
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
