--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,124 +1,84 @@
-"""Jobs whose steps name earlier steps fill the memory of the entries.
+"""An emptied zone gets work, as an entry missed that the zone was emptied again.
 
-A client sends jobs to two entries, with bodies of 1.6 MB. The platform kills a process
-that takes more than its `memoryMb`, and starts it again.
+The store turns one of three entries away for some seconds. Meanwhile the operator takes
+the evacuation of a zone back and requests it again.
 """
 
 import asyncio
-import json
 import sys
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'lib-3'))
 
 import stage as lib
 
-ENTRIES = ['front-1', 'front-2']
-STEPS = 1150
-# Each step names the steps from this one on up to the one before it.
-FIRST_NAMED = 257
-JOBS_AT_ONCE = 30
-SENT_EVERY_S = 0.15
-LARGE_DEADLINE_MS = 60_000
-# Kills of each of two entries that break the rule.
-KILLS = 3
-ORDINARY_EVERY_S = 0.25
-PLAYED_S = 60
-
-
-def large_job(mark: int) -> bytes:
-    """Return a job of 1,150 steps of one task each."""
-    steps: list[dict[str, Any]] = []
-    for number in range(STEPS):
-        step: dict[str, Any] = {'count': 1, 'cpu': 10, 'estimateMs': 20_000}
-        if number:
-            step['after'] = [*range(FIRST_NAMED, number)] or [0]
-        steps.append(step)
-    body = {'spec': f'large job {mark}', 'steps': steps, 'bestEffort': True}
-    return json.dumps(body, separators=(',', ':')).encode()
+CONTACT_S = 4.0
+EVACUATION_S = 5.0
+TURNED_AWAY_S = 9.0
+EMPTIED = 'cymru-a'
+ZONES = ('cymru-a', 'cymru-b', 'cymru-c')
+AWAY = 'front-cymru-b-1'
+# A margin for the answers on loopback.
+MARGIN_S = 0.2
+ASKED_FOR_S = 10
 
 
 async def play(case: lib.Stage, trouble: bool) -> bool:
-    """Return whether fewer than two entries ended three times."""
-    routes = [lib.route('lookup', '/lookup/'), lib.route('sweep', '/sweep/')]
+    """Return whether the emptied zone got no work beyond the bound."""
+    case.evacuation_ms = int(EVACUATION_S * 1000)
+    routes = [lib.route('lookup', '/lookup/')]
     case.store.write('op', 'config', lib.configuration(3, routes))
-    for number in (1, 2):
-        name = f'side-{number}'
-        await case.start('agent', name, f'zone-{number}')
-        worker = lib.Worker(
-            case.record,
-            case.ip(name),
-            f'worker-{number}',
-            f'zone-{number}',
-            lambda task: 20 if task.endswith('.0.0.0') and task in held else 0.05,
+    workers = {}
+    for zone in ZONES:
+        name = f'side-{zone}-1'
+        await case.start('agent', name, zone)
+        workers[zone] = lib.Worker(
+            case.record, case.ip(name), f'worker-{zone}', zone, lambda task: 0.1
         )
+    entries = [f'front-{zone}-1' for zone in ZONES]
+    for name, zone in zip(entries, ZONES, strict=True):
+        await case.start('entry', name, zone)
+        # Entries renew their rows in the store every 10 s, not all at the same moment.
+        await asyncio.sleep(1)
+    await case.wait_ready(entries)
+    for worker in workers.values():
         await worker.start()
-    for number, name in enumerate(ENTRIES, 1):
-        await case.start('entry', name, f'zone-{number}')
-    await case.wait_ready(ENTRIES)
     await asyncio.sleep(2)
-    guards = [
-        asyncio.create_task(case.guard_memory(name, 'entry', 0.5)) for name in ENTRIES
-    ]
-    ordinary = asyncio.create_task(_send_ordinary(case))
+    traffic = [asyncio.create_task(_send(case, name)) for name in entries]
+    evacuation = f'evacuate/{EMPTIED}'
+    case.store.write('op', evacuation, {})
+    await asyncio.sleep(1)
     if trouble:
-        await asyncio.gather(*(_attack(case, name) for name in ENTRIES))
-    else:
-        await asyncio.sleep(PLAYED_S / 4)
-    for task in (*guards, ordinary):
-        task.cancel()
-    for name in ENTRIES:
-        memory_mb = case.measure_memory_mb(name)
-        kills = case.memory_kills.get(name, 0)
-        case.record.add(f'{name}: {memory_mb:.0f} MB at the end, killed {kills} times')
-    return sum(each >= KILLS for each in case.memory_kills.values()) < 2
-
-
-# Tasks that work for as long as their client said.
-held: set[str] = set()
-
-
-async def _attack(case: lib.Stage, name: str) -> None:
-    """Send large jobs until the process was killed as often as the rule names."""
-    ends_at = case.record.now() + PLAYED_S
-    mark = 0
-    while case.memory_kills.get(name, 0) < KILLS and case.record.now() < ends_at:
-        killed = case.memory_kills.get(name, 0)
-        await case.wait_ready([name])
-        # Targets are known to the entry a moment after its agents are.
-        await asyncio.sleep(0.5)
-        open_jobs = []
-        for _ in range(JOBS_AT_ONCE):
-            if case.memory_kills.get(name, 0) > killed:
-                break
-            mark += 1
-            identifier = lib.new_id()
-            held.add(f'{identifier}.0.0.0')
-            case.record.add(f'client: POST /sweep/{identifier} to {name}, large')
-            open_jobs.append(asyncio.create_task(_send_large(case, name, identifier)))
-            await asyncio.sleep(SENT_EVERY_S)
-        await asyncio.sleep(1)
-        for each in open_jobs:
-            each.cancel()
-
-
-async def _send_large(case: lib.Stage, name: str, identifier: str) -> None:
-    body = large_job(len(held))
-    answer = await lib.submit(
-        case, name, '/sweep/', identifier, body, LARGE_DEADLINE_MS, quiet=True
+        case.record.add(f'{AWAY}: the store turns the machine away')
+        case.store_links[AWAY].refuse()
+    await asyncio.sleep(1)
+    case.store.write('op', evacuation, None)
+    await asyncio.sleep(3)
+    case.store.write('op', evacuation, {})
+    acknowledged_at = case.record.now()
+    await asyncio.sleep(TURNED_AWAY_S - 4)
+    if trouble:
+        case.record.add(f'{AWAY}: the store serves the machine again')
+        case.store_links[AWAY].mend()
+    served_at = case.record.now()
+    in_touch_at = max(acknowledged_at + EVACUATION_S, served_at + CONTACT_S) + MARGIN_S
+    await asyncio.sleep(in_touch_at + ASKED_FOR_S - case.record.now())
+    for each in traffic:
+        each.cancel()
+    wrong = [run for run in workers[EMPTIED].runs if run.began_at > in_touch_at]
+    case.record.add(
+        f'{len(wrong)} tasks were started in {EMPTIED} from {in_touch_at:.2f} on; its'
+        f' evacuation was acknowledged at {acknowledged_at:.2f}'
     )
-    case.record.add(f'client: {identifier} at {name} gets {lib.describe(answer)}')
+    return not wrong
 
 
-async def _send_ordinary(case: lib.Stage) -> None:
-    sent = set()
+async def _send(case: lib.Stage, entry: str) -> None:
     while True:
-        for name in ENTRIES:
-            body = lib.job(1, 50)
-            work = lib.submit(case, name, '/lookup/', lib.new_id(), body, 1500)
-            sent.add(asyncio.create_task(work))
-        await asyncio.sleep(ORDINARY_EVERY_S)
+        # More than the workers of one zone have room for at once.
+        body = lib.job(16, 100)
+        await lib.submit(case, entry, '/lookup/', lib.new_id(), body, 1500, quiet=True)
+        await asyncio.sleep(0.2)
 
 
 lib.run_case(__file__, play)
