Apply the changes of the feed in their order

Cause: `Changes` kept written and deleted rows in two lists. `RowWatcher` applied all written rows and then all deleted ones, so a row that was deleted and written again in one answer of the feed was dropped, whatever its kind. The set had the highest version of the store, so agents believed it.

Evidence: the entry logged `evacuation_applied` with in_force false at version 113; the store had the withdrawal at 109 and the new request at 110. The stand-in returned only the newest change of each row, so no test had seen it.

Change: `Changes.rows` is one sequence of `RowChange` in the order of the feed, and the watcher applies it in this order. The stand-in returns each change.

--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -259,13 +259,13 @@
             return
         changes = await self._table.wait_for_changes(self._version, FEED_POLL_WAIT_S)
         self._version = max(self._version, changes.version)
-        written = [row for row in changes.rows if row.key.startswith(self._prefix)]
-        # Also rows that were written and deleted since the last call.
-        removed = [row for row in changes.deleted if row.key.startswith(self._prefix)]
-        self._rows.update((row.key, row) for row in written)
-        for row in removed:
-            self._rows.pop(row.key, None)
-        if written or removed:
+        watched = [each for each in changes.rows if each.key.startswith(self._prefix)]
+        for change in watched:
+            if change.row is None:
+                self._rows.pop(change.key, None)
+            else:
+                self._rows[change.key] = change.row
+        if watched:
             self._on_rows(self._rows)
 
     def _set_available(self, *, available: bool, reason: str = '') -> None:
--- a/libs/endivetally-table/src/endivetally_table/feed.py
+++ b/libs/endivetally-table/src/endivetally_table/feed.py
@@ -25,17 +25,27 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """A write or a deletion of one row.
+
+    :param row: the row as it was written; ``None`` if it was deleted.
+    """
+
+    key: str
+    row: Row | None
+
+
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Changes since a version of the table.
 
-    :param rows: rows that were written, each with its newest content.
-    :param deleted: rows that were deleted, without content.
+    :param rows: the changes of rows in the order in which they were made. A row that
+        has changed several times may appear several times.
     :param version: version of the whole table service to pass to the next call.
     """
 
-    rows: tuple[Row, ...]
-    deleted: tuple[Row, ...]
+    rows: tuple[RowChange, ...]
     version: int
 
 
--- a/libs/endivetally-table/src/endivetally_table/memory_feed.py
+++ b/libs/endivetally-table/src/endivetally_table/memory_feed.py
@@ -7,9 +7,9 @@
 from endivetally_table.feed import Changes
 from endivetally_table.feed import FeedTable
 from endivetally_table.feed import HistoryLost
+from endivetally_table.feed import RowChange
 from endivetally_table.feed import Snapshot
 from endivetally_table.memory import MemoryTable
-from endivetally_table.table import Row
 from endivetally_table.table import Transaction
 
 
@@ -20,7 +20,7 @@
         super().__init__()
         self._newest_version = 0
         self._oldest_version = 0
-        self._history: list[tuple[int, Row | str]] = []
+        self._history: list[tuple[int, RowChange]] = []
         self._changed = asyncio.Event()
 
     async def commit(self, transaction: Transaction) -> None:
@@ -28,10 +28,8 @@
         await super().commit(transaction)
         self._newest_version += 1
         for put in transaction.puts:
-            row = self._rows.get(put.key)
-            self._history.append(
-                (self._newest_version, put.key if row is None else row)
-            )
+            change = RowChange(put.key, self._rows.get(put.key))
+            self._history.append((self._newest_version, change))
         self._changed.set()
 
     async def read_snapshot(self, prefix: str) -> Snapshot:
@@ -50,7 +48,7 @@
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
             except TimeoutError:
-                return Changes((), (), self._newest_version)
+                return Changes((), self._newest_version)
             if after < self._oldest_version:
                 raise HistoryLost('the change history was discarded')
         return self._collect_changes(after)
@@ -63,13 +61,5 @@
         self._changed.set()
 
     def _collect_changes(self, after: int) -> Changes:
-        newest: dict[str, Row | str] = {}
-        for version, change in self._history:
-            if version > after:
-                newest[change if isinstance(change, str) else change.key] = change
-        changed = newest.values()
-        return Changes(
-            tuple(row for row in changed if isinstance(row, Row)),
-            tuple(Row(key, b'', 0) for key in changed if isinstance(key, str)),
-            self._newest_version,
-        )
+        changes = (change for version, change in self._history if version > after)
+        return Changes(tuple(changes), self._newest_version)
--- a/tests/adapter/test_evacuations.py
+++ b/tests/adapter/test_evacuations.py
@@ -152,6 +152,25 @@
         assert await fetch_readiness(program) == {'reason', 'since_s'}
 
 
+@pytest.mark.parametrize('evacuation_ms', [5000, None])
+async def test_rows_that_came_back_while_the_store_was_away_are_in_force(
+    evacuation_ms, load
+):
+    """One answer of the feed then deletes a row and writes it again."""
+    rows = {'config': encode_configuration(1), '_north': b'{}', '_south': b'{}'}
+    async with run_watcher(load, evacuation_ms, **rows) as (program, store):
+        store.faults.error_status = 503
+        # Ends the call that waits for changes.
+        await write(store, other=b'x')
+        await wait_until(lambda: program.events.event_counts[Event.TABLE_UNAVAILABLE])
+        await write(store, config=None, _north=None, _south=None)
+        await write(store, config=encode_configuration(2), _north=b'{}')
+        store.faults.error_status = 0
+        await wait_until(lambda: program.events.event_counts[Event.TABLE_AVAILABLE] > 1)
+        assert program.entry.config.version == 2
+        assert find_emptied(program) == ({'north'} if evacuation_ms else set())
+
+
 async def test_readiness_and_metrics_tell_what_is_in_force(load):
     rows = {'config': encode_configuration(1), '_south': b'{}'}
     async with run_watcher(load, 5000, **rows) as (program, _):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -33,6 +33,11 @@
         yield StoreTable(http_client, 'own'), store.get_table('own')
 
 
+def list_contents(changes):
+    """Return the key and content of each change; no content for a deletion."""
+    return [(each.key, each.row and each.row.content) for each in changes.rows]
+
+
 def put_row(key, content=b'x'):
     return Transaction((), (Put(key, content),))
 
@@ -68,12 +73,21 @@
     await asyncio.sleep(0.01)
     await table.commit(Transaction((), (Put('b', b'y'), Put('a', None))))
     changes = await waiting
-    assert [row.key for row in changes.rows] == ['b']
-    assert [row.key for row in changes.deleted] == ['a']
+    assert list_contents(changes) == [('b', b'y'), ('a', None)]
     unchanged = await table.wait_for_changes(changes.version, 0.01)
     assert (unchanged.rows, unchanged.version) == ((), changes.version)
 
 
+async def test_feed_returns_every_change_of_a_row_in_order(table_and_memory_table):
+    """Without the order, nobody can tell whether the row exists."""
+    table, _ = table_and_memory_table
+    written = [('a', b'1'), ('b', b'2'), ('a', None), ('b', None), ('a', b'3')]
+    for key, content in written:
+        await table.commit(put_row(key, content))
+    changes = await table.wait_for_changes(0, 5)
+    assert list_contents(changes) == written
+
+
 async def test_discarded_history_raises_history_lost(table_and_memory_table):
     table, memory_table = table_and_memory_table
     await table.commit(put_row('a'))
--- a/tests/held/test_discovery.py
+++ b/tests/held/test_discovery.py
@@ -18,7 +18,9 @@
 from endivetally_held.discovery import RowWatcher
 from endivetally_held.discovery import register
 from endivetally_table.memory_feed import MemoryFeedTable
+from endivetally_table.table import Put
 from endivetally_table.table import Row
+from endivetally_table.table import Transaction
 
 
 def create_event_log():
@@ -121,6 +123,68 @@
     run_virtually(run())
 
 
+class InterruptedTable(MemoryFeedTable):
+    """A table whose feed sends nothing while ``connected`` is not set."""
+
+    def __init__(self):
+        super().__init__()
+        self.connected = asyncio.Event()
+
+    async def wait_for_changes(self, after, wait_s):
+        changes = await super().wait_for_changes(after, wait_s)
+        if self.connected.is_set():
+            return changes
+        await self.connected.wait()
+        return await super().wait_for_changes(after, wait_s)
+
+
+WRITTEN = (agent_row(1), agent_row(2), entry_row(1))
+
+
+@pytest.mark.parametrize('changed', WRITTEN, ids=lambda row: row.key)
+@pytest.mark.parametrize(
+    'steps',
+    [
+        ('delete', 'write'),
+        ('write', 'delete'),
+        ('delete', 'write', 'delete'),
+        ('write', 'delete', 'write'),
+    ],
+    ids='-'.join,
+)
+def test_last_of_several_changes_in_one_answer_of_the_feed_counts(changed, steps):
+    """A row that came back was lost until it was written again."""
+
+    async def run():
+        table = InterruptedTable()
+        await put_rows(table, WRITTEN)
+        copies = []
+        watcher = RowWatcher(
+            table, '', lambda rows: copies.append(dict(rows)), create_event_log()
+        )
+        watching = asyncio.ensure_future(watcher.run())
+        await asyncio.sleep(0.1)
+        for step in steps:
+            await put_rows(table, [changed], deleted=step == 'delete')
+        table.connected.set()
+        await asyncio.sleep(0.1)
+        assert len(copies) == 2
+        expected = {row.key for row in WRITTEN}
+        if steps[-1] == 'delete':
+            expected.remove(changed.key)
+        assert copies[-1].keys() == expected
+        selected = create_selector().select(copies[-1])
+        assert len(selected) == sum(key.startswith('agents/') for key in expected)
+        watching.cancel()
+
+    run_virtually(run())
+
+
+async def put_rows(table, rows, *, deleted=False):
+    puts = tuple(Put(row.key, None if deleted else row.content) for row in rows)
+    await table.commit(Transaction((), puts))
+
+
 def register_agent(table, number):
     row = msgspec.json.decode(agent_row(number).content, type=AgentRow)
     return register(table, f'agents/{row.address}', row, create_event_log())
--- a/tests/held/test_evacuation.py
+++ b/tests/held/test_evacuation.py
@@ -229,6 +229,27 @@
     run_scenario(scenario, entries=1)
 
 
+def test_an_evacuation_that_is_requested_again_is_not_missed():
+    """The entry reads the withdrawal and the second request in one answer."""
+
+    async def scenario(cluster):
+        await cluster.evacuate('north')
+        await asyncio.sleep(1)
+        cluster.cut_from_store.update(cluster.entry_names, cluster.agent_names)
+        await asyncio.sleep(3)
+        await cluster.withdraw('north')
+        await cluster.evacuate('north')
+        await asyncio.sleep(EVACUATION_S)
+        cluster.cut_from_store.difference_update(cluster.entry_names)
+        await asyncio.sleep(2)
+        emptied_at = cluster.loop.time()
+        responses = await submit_many(cluster, 'entry-0', timeout_s=9)
+        assert {each.result for each in responses} == {JobResult.COMPLETED}
+        assert not cluster.count_starts('north', emptied_at)
+
+    run_scenario(scenario, entries=1)
+
+
 def test_an_agent_follows_the_newest_version_when_its_source_is_lost():
     """One entry reads an evacuation and dies; the other sees it only withdrawn."""
 
