Read the evacuations again when entries contradict each other

Seen: nothing in a deployment; found on the path of the fault before. An agent that had got a wrong set of emptied data centres kept it, although another entry sent the right one, until a newer version came.

Cause: a set of the version that the agent had was ignored without a look.

Change: sets of one version that differ about the agent's data centre can't both be right. The agent takes it for emptied and reads the rows itself, once a second until the store answers, and logs evacuation_disputed. What it has read counts, so further sets of that version start no second dispute.

Result: 8 of 8 cases of test_a_wrong_set_of_the_same_version_is_not_kept failed on the code before and pass now.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -45,6 +45,7 @@
     CONFIG_CLAMPED = 'text_clamped'
     CONFIG_REJECTED = 'text_ignored'
     EVACUATION_APPLIED = 'evacuation_applied'
+    EVACUATION_DISPUTED = 'evacuation_disputed'
     ROW_IGNORED = 'row_ignored'
     ROW_WRITTEN = 'row_written'
     AGENT_LINKED = 'agent_linked'
--- a/libs/endivetally-held/src/endivetally_held/evacuation.py
+++ b/libs/endivetally-held/src/endivetally_held/evacuation.py
@@ -191,7 +191,8 @@
     """Whether the data centre of an agent is emptied.
 
     :param on_change: called when that has changed.
-    :ivar store_needed: set while no connected entry reaches the store.
+    :ivar store_needed: set while the agent has to read the rows itself, as no connected
+        entry reaches the store, or as entries contradict each other.
     """
 
     def __init__(
@@ -204,6 +205,8 @@
         self._events = events
         self._on_change = on_change
         self._reaching: set[Hashable] = set()
+        self._disputed = False
+        self._read_from_store = False
 
     @property
     def in_force(self) -> bool:
@@ -222,20 +225,44 @@
             self._reaching.discard(entry)
         self._update_need()
         known = EvacuationSet(message.version, frozenset(message.data_centres))
-        self.apply(known, 'entry')
+        if known.version == self.current.version:
+            self._compare(known)
+        elif known.version > self.current.version:
+            self._apply(known, 'entry')
 
     def remove_entry(self, entry: Hashable) -> None:
         """Forget an entry that is no longer connected; the set stays."""
         self._reaching.discard(entry)
         self._update_need()
 
-    def apply(self, evacuations: EvacuationSet, source: str) -> None:
-        """Apply a set, unless a newer or equal one is known.
+    def apply_from_store(self, evacuations: EvacuationSet) -> None:
+        """Apply what the agent has read itself, unless a newer set is known."""
+        if evacuations.version >= self.current.version:
+            self._apply(evacuations, 'store')
 
-        :param source: ``entry`` or ``store``.
+    def _compare(self, other: EvacuationSet) -> None:
+        """Take the data centre for emptied if two entries differ about it.
+
+        Sets of one version can't both be right; the store is asked.
         """
-        if evacuations.version <= self.current.version:
+        settled = self._read_from_store or self._disputed
+        emptied = self.data_centre in other.data_centres
+        if settled or emptied is self.in_force:
             return
+        self._events.emit(
+            Event.EVACUATION_DISPUTED,
+            data_centre=self.data_centre,
+            version=other.version,
+        )
+        if emptied:
+            self._apply(other, 'entry')
+        self._disputed = True
+        self._update_need()
+
+    def _apply(self, evacuations: EvacuationSet, source: str) -> None:
+        self._read_from_store = source == 'store'
+        self._disputed = False
+        self._update_need()
         was_in_force = self.in_force
         self.current = evacuations
         if self.in_force is was_in_force:
@@ -250,14 +277,14 @@
         self._on_change()
 
     def _update_need(self) -> None:
-        if self._reaching:
+        if self._reaching and not self._disputed:
             self.store_needed.clear()
         else:
             self.store_needed.set()
 
 
 class EvacuationReader:
-    """Reads the rows for an agent while none of its entries reaches the store.
+    """Reads the rows for an agent while its entries can't tell what they are.
 
     :param table: the operators' table.
     """
@@ -286,7 +313,7 @@
         self._report(failed=False)
         names = [row.key.removeprefix(EVACUATION_PREFIX) for row in snapshot.rows]
         version = min(max(snapshot.version, 0), MAX_VERSION)
-        self._evacuation.apply(EvacuationSet(version, frozenset(names)), 'store')
+        self._evacuation.apply_from_store(EvacuationSet(version, frozenset(names)))
 
     def _report(self, *, failed: bool, reason: str = '') -> None:
         if failed is self._failed:
--- a/tests/held/test_evacuation.py
+++ b/tests/held/test_evacuation.py
@@ -290,6 +290,39 @@
     assert evacuation.store_needed.is_set()
 
 
+@pytest.mark.parametrize('emptied', [True, False])
+@pytest.mark.parametrize('first_is_right', [True, False])
+@pytest.mark.parametrize('cut', [True, False])
+def test_a_wrong_set_of_the_same_version_is_not_kept(cut, first_is_right, emptied):
+    """An agent kept the first set of a version, right or wrong."""
+
+    async def scenario(cluster):
+        evacuation = cluster.agents['agent-0'].evacuation
+        await (cluster.evacuate if emptied else cluster.withdraw)('north')
+        await asyncio.sleep(1)
+        version = evacuation.current.version + 1
+        await cluster.operator_table.commit(Transaction((), (Put('other', b'x'),)))
+        cluster.cut_from_store.update(cluster.agent_names if cut else ())
+        right = ['north'] if emptied else []
+        wrong = [] if emptied else ['north']
+        for data_centres in [right, wrong] if first_is_right else [wrong, right]:
+            message = Evacuations(version, data_centres, True)
+            evacuation.handle_message(str(data_centres), message)
+        # Without an answer of the store, nothing is started.
+        assert evacuation.in_force
+        await asyncio.sleep(2)
+        assert evacuation.in_force is (emptied or cut)
+        assert evacuation.store_needed.is_set() is cut
+        evacuation.handle_message('late', Evacuations(version, wrong, True))
+        assert evacuation.in_force is (emptied or cut)
+        assert cluster.events.event_counts[Event.EVACUATION_DISPUTED] == 1
+        reads = len(cluster.tables['agent-0'].reads)
+        await asyncio.sleep(2)
+        assert bool(len(cluster.tables['agent-0'].reads) - reads) is cut
+
+    run_scenario(scenario, entries=0)
+
+
 @pytest.mark.parametrize('change', ['withdraw', 'evacuate'])
 def test_an_entry_passes_on_changes_whose_steps_it_has_not_seen(change):
     """Its own set stays the same, but an agent got another one from a lost entry."""
