Count only rows that name an entry among the live ones

Seen: another writer leaves rows under entries/ whose content is `[`. With 200 of them and one agent, an entry refuses every job for 10 s and more; with six, one of two entries got no agent, for 25 s after the rows were read.

Cause: an agent is used by the four entries that rank first for it, and each row under entries/ counted as a live entry, whatever its content.

Change: a row has to decode as the row of an entry and to name the entry of its key. Others are logged once as row_ignored. One that overwrites the row of a live entry neither renews nor ends it.

--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -118,6 +119,18 @@
     data_centre: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class _KnownEntry:
+    """What the row of an entry has told.
+
+    :param version: version of the row.
+    :param renewed_at: when a row that names the entry was last read, in seconds.
+    """
+
+    version: int
+    renewed_at: float
+
+
 class AgentSelector:
     """Selects the agents that an entry connects to.
 
@@ -132,7 +145,7 @@
         self._name = name
         self._events = events
         self._clock = clock
-        self._row_changes: dict[str, tuple[int, float]] = {}
+        self._known_entries: dict[str, _KnownEntry] = {}
         self._entries: frozenset[str] = frozenset()
         self._agents: dict[str, _RankedAgent] = {}
 
@@ -175,18 +188,41 @@
         return _RankedAgent(row.version, address, selected, decoded.data_centre)
 
     def _find_live_entries(self, rows: Mapping[str, Row]) -> frozenset[str]:
-        now = self._clock()
-        names = {self._name}
-        for key, row in rows.items():
-            if not key.startswith(ENTRY_PREFIX):
-                continue
-            version, changed_at = self._row_changes.get(key, (0, now))
-            if row.version != version:
-                self._row_changes[key] = (row.version, now)
-                changed_at = now
-            if now - changed_at < STALE_AFTER_S:
-                names.add(key.removeprefix(ENTRY_PREFIX))
-        return frozenset(names)
+        self._known_entries = {
+            key: self._check_entry(row, self._known_entries.get(key))
+            for key, row in rows.items()
+            if key.startswith(ENTRY_PREFIX)
+        }
+        stale_at = self._clock() - STALE_AFTER_S
+        live = {
+            key.removeprefix(ENTRY_PREFIX)
+            for key, known in self._known_entries.items()
+            if known.renewed_at > stale_at
+        }
+        return frozenset((self._name, *live))
+
+    def _check_entry(self, row: Row, former: _KnownEntry | None) -> _KnownEntry:
+        """Return what is known of an entry; only a row that names it renews it."""
+        if former is not None and former.version == row.version:
+            return former
+        try:
+            _check_entry_row(row)
+        except (ValueError, RecursionError) as error:
+            self._events.emit(Event.ROW_IGNORED, key=row.key, reason=str(error))
+            renewed_at = former.renewed_at if former else -math.inf
+            return _KnownEntry(row.version, renewed_at)
+        return _KnownEntry(row.version, self._clock())
+
+
+def _check_entry_row(row: Row) -> None:
+    """Check that a row is one that the entry of its key writes about itself.
+
+    :raises ValueError: when it is malformed or names another entry.
+    :raises RecursionError: when it is nested too deeply.
+    """
+    name = msgspec.json.decode(row.content, type=EntryRow).name
+    if not name or row.key != f'{ENTRY_PREFIX}{name}':
+        raise ValueError(f'the row names the entry {name!r}')
 
 
 class ContactHandler(Protocol):
