Keep the agent of a row that another writer has overwritten

Seen: with `[` in the rows of both agents, each of two entries refused all jobs of a test with the real programs, for 10 s until it gave up.

Cause: an agent writes its row once, when it starts. An entry that read a malformed version of it took the agent for one without an address and closed a connection that worked. Rows that are not valid were also logged again whenever the set of live entries changed.

Change: what a valid version of a row has told stays, whatever malformed version follows. A valid one or a deletion counts as before.

--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import Final
 from typing import Protocol
 
@@ -107,16 +108,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _RankedAgent:
-    """The row of an agent, and whether this entry is to connect to the agent.
+    """What the row of an agent has told, and whether this entry is to connect to it.
 
     :param version: version of the row.
-    :param address: ``None`` for a malformed row.
+    :param address: ``None`` if no version of the row was valid.
     """
 
     version: int
-    address: Address | None
-    selected: bool
+    address: Address | None = None
     data_centre: str = ''
+    selected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,10 +162,10 @@
         :param rows: rows of all agents and entries by their keys.
         """
         entries = self._find_live_entries(rows)
-        former = self._agents if entries == self._entries else {}
+        rank_again = entries != self._entries
         self._entries = entries
         self._agents = {
-            key: self._rank_agent(row, former.get(key))
+            key: self._rank_agent(row, self._agents.get(key), rank_again=rank_again)
             for key, row in rows.items()
             if key.startswith(AGENT_PREFIX)
         }
@@ -174,18 +175,32 @@
             if agent.selected and agent.address is not None
         }
 
-    def _rank_agent(self, row: Row, former: _RankedAgent | None) -> _RankedAgent:
-        if former is not None and former.version == row.version:
+    def _rank_agent(
+        self, row: Row, former: _RankedAgent | None, *, rank_again: bool
+    ) -> _RankedAgent:
+        if former is None or former.version != row.version:
+            agent = self._decode_agent(row, former)
+        elif rank_again:
+            agent = former
+        else:
             return former
+        if agent.address is None:
+            return agent
+        ranked = rank_by_rendezvous(str(agent.address), self._entries)
+        return replace(agent, selected=self._name in ranked[:ENTRIES_PER_AGENT])
+
+    def _decode_agent(self, row: Row, former: _RankedAgent | None) -> _RankedAgent:
+        """Return the agent of a row; a malformed row leaves the former agent in use.
+
+        The agent writes its row once, and may still run when another writer has
+        overwritten it.
+        """
         try:
             decoded = msgspec.json.decode(row.content, type=AgentRow)
         except (ValueError, RecursionError) as error:
             self._events.emit(Event.ROW_IGNORED, key=row.key, reason=str(error))
-            return _RankedAgent(row.version, None, selected=False)
-        address = decoded.address
-        ranked = rank_by_rendezvous(str(address), self._entries)
-        selected = self._name in ranked[:ENTRIES_PER_AGENT]
-        return _RankedAgent(row.version, address, selected, decoded.data_centre)
+            return replace(former or _RankedAgent(row.version), version=row.version)
+        return _RankedAgent(row.version, decoded.address, decoded.data_centre)
 
     def _find_live_entries(self, rows: Mapping[str, Row]) -> frozenset[str]:
         self._known_entries = {
--- a/tests/foreign_rows/test_programs.py
+++ b/tests/foreign_rows/test_programs.py
@@ -11,6 +11,7 @@
 from endivetally_platform.http_client import HttpClient
 from endivetally_platform.standins import CallResult
 from endivetally_platform.standins import JobSpec
+from endivetally_platform.standins.settings import PEER_PORT
 from endivetally_platform.standins.settings import REPORT_PORT
 from endivetally_policy.held import Resources
 from endivetally_table.table import Put
@@ -28,6 +29,7 @@
 RETRY_S = 0.5
 # Beyond the 1.5 s between two reports of a target.
 SETTLED_S = 3
+MAX_LINE_BYTES = 10_000
 
 job_numbers = itertools.count(1)
 
@@ -92,6 +94,13 @@
     assert agent.worker.instance.report.target_id in used
 
 
+def check_log_lines(directory):
+    """Check that no log line is so long that a few fill a disk."""
+    for log in directory.glob('*.log'):
+        longest = max(map(len, log.read_bytes().splitlines()), default=0)
+        assert longest < MAX_LINE_BYTES, log.name
+
+
 async def test_odd_rows_cost_no_service(tmp_path):
     """Rows under ``entries/`` took the places of entries, whatever was in them."""
     async with run_deployment(tmp_path, entries=3) as deployment:
@@ -140,3 +149,12 @@
                 assert response.status == 200
             await client.close()
         await check_service(deployment)
+
+
+async def test_agents_whose_rows_are_overwritten_stay_in_use(tmp_path):
+    """Entries closed their connections to such an agent for good."""
+    async with run_deployment(tmp_path) as deployment:
+        keys = [f'agents/{agent.ip}:{PEER_PORT}' for agent in deployment.agents]
+        await write_rows(deployment, dict.fromkeys(keys, b'['))
+        await asyncio.sleep(1)
+        await check_service(deployment)
--- a/tests/foreign_rows/test_selection.py
+++ b/tests/foreign_rows/test_selection.py
@@ -12,6 +12,14 @@
 from held.test_discovery import create_selector
 from held.test_discovery import entry_row
 
+# Valid rows of agents, in which only an address is of no use.
+NAMES_AN_AGENT = {
+    name
+    for name in CONTENTS
+    if name in {'agent', 'name long', 'unknown field nested'}
+    or name.startswith('host ')
+} - {'host number'}
+
 each_content = pytest.mark.parametrize('content', CONTENTS.values(), ids=CONTENTS)
 
 
@@ -44,7 +52,26 @@
     assert selector.select(rows) == create_selector().select(without) != selected
 
 
-@pytest.mark.parametrize('key', ['entries/odd'])
+@pytest.mark.parametrize(
+    'content',
+    [content for name, content in CONTENTS.items() if name not in NAMES_AN_AGENT],
+    ids=[name for name in CONTENTS if name not in NAMES_AN_AGENT],
+)
+def test_an_agent_whose_row_is_overwritten_stays_selected(content):
+    """Each entry closed its connection to the agent for good."""
+    selector = create_selector()
+    rows = create_rows(20, 2)
+    selected = selector.select(rows)
+    add_row(rows, 'agents/10.0.0.3:7720', content, 2)
+    assert selector.select(rows) == selected
+    rows['entries/entry-2'] = entry_row(2)
+    assert selector.select(rows) == selected
+    restarted = {**AGENT_FIELDS, 'address': {'host': '10.0.0.3', 'port': 7721}}
+    add_row(rows, 'agents/10.0.0.3:7720', json.dumps(restarted).encode(), 3)
+    assert len(selector.select(rows) - selected) == 1
+
+
+@pytest.mark.parametrize('key', ['entries/odd', 'agents/odd'])
 def test_a_row_that_is_ignored_is_logged_once(key):
     selector = create_selector()
     rows = create_rows(2, 2)
