Let an agent without an entry write its row again

Seen: with rows of both agents replaced by valid ones of another address, each entry refused all jobs of a test with the real programs.

Cause: an agent wrote its row once, when it started. When another writer had replaced or deleted the row, no entry found the agent until it was restarted.

Change: an agent that no entry is connected to writes its row again each 10 s, the interval at which entries renew theirs. One with an entry writes nothing.

--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -4,7 +4,8 @@
 all rows once and then follow the changes. The row of an agent is only a hint where to
 connect; the agent that responds there identifies itself. Entries renew their rows, so
 that each knows which entries share the agents, and each connects only to the agents
-that rank it among their first few entries.
+that rank it among their first few entries. An agent renews its row only while no entry
+is connected to it.
 """
 
 import asyncio
@@ -38,8 +39,9 @@
 # Number of entries that use one agent. More would use its capacity more evenly, but
 # each costs it messages. In a fleet of 300, an entry has fewer than 30 connections.
 ENTRIES_PER_AGENT: Final = 4
-# An entry renews its row at this interval. An entry whose row is not renewed for the
-# longer time, while the rows of others are, is ignored.
+# An entry renews its row at this interval, as does an agent without a connected entry.
+# An entry whose row is not renewed for the longer time, while the rows of others are,
+# is ignored.
 RENEW_INTERVAL_S: Final = 10
 STALE_AFTER_S: Final = 25
 # A lost connection to the table is detected within this time plus the response timeout;
@@ -92,6 +94,26 @@
         return
 
 
+async def keep_agent_registered(
+    table: FeedTable,
+    row: AgentRow,
+    events: EventLog,
+    is_connected: Callable[[], bool],
+) -> None:
+    """Write the row of an agent, and again while no entry is connected.
+
+    Another writer may have replaced or deleted the row.
+
+    :param is_connected: returns whether an entry is connected to the agent.
+    """
+    key = f'{AGENT_PREFIX}{row.address}'
+    while True:
+        await register(table, key, row, events)
+        await asyncio.sleep(RENEW_INTERVAL_S)
+        while is_connected():
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
+
 async def keep_registered(
     table: FeedTable, name: str, incarnation: str, events: EventLog
 ) -> None:
--- a/tests/foreign_rows/test_programs.py
+++ b/tests/foreign_rows/test_programs.py
@@ -8,6 +8,7 @@
 
 import pytest
 from endivetally.soak.deployment import SoakDeployment
+from endivetally_held.discovery import RENEW_INTERVAL_S
 from endivetally_platform.http_client import HttpClient
 from endivetally_platform.standins import CallResult
 from endivetally_platform.standins import JobSpec
@@ -158,3 +159,12 @@
         await write_rows(deployment, dict.fromkeys(keys, b'['))
         await asyncio.sleep(1)
         await check_service(deployment)
+
+
+async def test_agents_whose_rows_are_replaced_are_found_again(tmp_path):
+    """No entry found such an agent until it was restarted."""
+    async with run_deployment(tmp_path) as deployment:
+        keys = [f'agents/{agent.ip}:{PEER_PORT}' for agent in deployment.agents]
+        await write_rows(deployment, dict.fromkeys(keys, CONTENTS['agent']))
+        await asyncio.sleep(2 * RENEW_INTERVAL_S)
+        await check_service(deployment)
--- a/tests/held/test_discovery.py
+++ b/tests/held/test_discovery.py
@@ -11,11 +11,13 @@
 from endivetally_core.joining import Address
 from endivetally_held import discovery
 from endivetally_held.discovery import ENTRIES_PER_AGENT
+from endivetally_held.discovery import RENEW_INTERVAL_S
 from endivetally_held.discovery import STALE_AFTER_S
 from endivetally_held.discovery import AgentRow
 from endivetally_held.discovery import AgentSelector
 from endivetally_held.discovery import EntryRow
 from endivetally_held.discovery import RowWatcher
+from endivetally_held.discovery import keep_agent_registered
 from endivetally_held.discovery import register
 from endivetally_table.memory_feed import MemoryFeedTable
 from endivetally_table.table import Put
@@ -257,3 +259,35 @@
         await asyncio.wait_for(registration, 2)
 
     run_with_watcher(scenario)
+
+
+@pytest.mark.parametrize('content', [None, b'[', agent_row(2).content])
+def test_an_agent_without_an_entry_writes_its_row_again(content):
+    """A row that another writer had replaced or deleted stayed so."""
+
+    async def run():
+        table = MemoryFeedTable()
+        connected = []
+        own = agent_row(1)
+        row = msgspec.json.decode(own.content, type=AgentRow)
+        events = create_event_log()
+        registration = asyncio.ensure_future(
+            keep_agent_registered(table, row, events, lambda: bool(connected))
+        )
+        await asyncio.sleep(1)
+        connected.append('entry-1')
+        for _ in range(3):
+            await table.commit(Transaction((), (Put(own.key, content),)))
+            await asyncio.sleep(2 * RENEW_INTERVAL_S)
+            assert await table.read(own.key) != own
+            connected.clear()
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            assert (await table.read(own.key)).content == own.content
+            connected.append('entry-1')
+            await asyncio.sleep(RENEW_INTERVAL_S)
+        writes = events.event_counts[Event.ROW_WRITTEN]
+        await asyncio.sleep(10 * RENEW_INTERVAL_S)
+        assert events.event_counts[Event.ROW_WRITTEN] == writes
+        registration.cancel()
+
+    run_virtually(run())
