Shorten long fields of log lines

Seen: a row under agents/ with an unknown field of 100,000 characters makes a line of 100 kB at each entry, and a target's report with a state of 50,000 characters one of 50 kB at its agent.

Cause: messages of errors quote what was found. Lines were bounded in number, not in length; 4,000 of them are kept while standard output is blocked.

Change: of a line over 4 KB, each field over 1,000 characters is cut to its start and end.

--- a/libs/endivetally-core/src/endivetally_core/events.py
+++ b/libs/endivetally-core/src/endivetally_core/events.py
@@ -27,6 +27,9 @@
 NOTABLE_LINES_PER_S: Final = 400
 # Bounds the memory used while standard output is blocked; about 1 MB.
 MAX_QUEUED_LINES: Final = 4000
+# Fields of a longer line are shortened. Peers and other writers choose what some hold.
+MAX_LINE_BYTES: Final = 4096
+MAX_FIELD_CHARACTERS: Final = 1000
 
 
 class Event(StrEnum):
@@ -212,9 +215,11 @@
             encoded = self._encoder.encode(line)
         except (TypeError, ValueError):
             # No text of a peer or a library may end the work that logs it.
-            encoded = self._encoder.encode(
-                {key: ascii(field) for key, field in line.items()}
-            )
+            line = {key: ascii(field) for key, field in line.items()}
+            encoded = self._encoder.encode(line)
+        if len(encoded) > MAX_LINE_BYTES:
+            shortened = {key: _shorten(field) for key, field in line.items()}
+            encoded = self._encoder.encode(shortened)
         self._lines.append(b'%b\n' % encoded)
         self._wakeup.set()
 
@@ -258,6 +263,15 @@
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
 
 
+def _shorten(field: Any) -> Any:
+    """Return a field as it is, or the start and the end of its text if it is long."""
+    text = ascii(field)
+    if len(text) <= MAX_FIELD_CHARACTERS:
+        return field
+    part = MAX_FIELD_CHARACTERS // 2
+    return f'{text[:part]}...{text[-part:]}'
+
+
 def _write_to_stdout(lines: bytes) -> None:
     sys.stdout.buffer.write(lines)
     sys.stdout.buffer.flush()
--- a/tests/core/test_events.py
+++ b/tests/core/test_events.py
@@ -6,6 +6,7 @@
 import re
 import threading
 
+import pytest
 from endivetally_core import events
 from endivetally_core.events import Event
 from endivetally_core.events import EventLog
@@ -40,6 +41,21 @@
     assert line['address'] == "'\\udcff'"
 
 
+@pytest.mark.parametrize(
+    'long', ['x' * 1_000_000, '\udcff' * 100_000, ['name'] * 100_000, b'x' * 100_000]
+)
+def test_long_fields_are_shortened(long):
+    """A peer could fill a disk with a few lines of megabytes each."""
+    lines, log = open_event_log()
+    log.emit(Event.ROW_IGNORED, key='agents/a', reason=long, version=7)
+    log.close()
+    (encoded,) = b''.join(lines).splitlines()
+    assert len(encoded) < events.MAX_LINE_BYTES
+    line = json.loads(encoded)
+    assert (line['key'].strip("'"), int(line['version'])) == ('agents/a', 7)
+    assert len(line['reason']) <= events.MAX_FIELD_CHARACTERS + len('...')
+
+
 def test_refusals_are_kept_when_routine_events_are_dropped():
     lines, log = open_event_log()
     for number in range(1000):
--- a/tests/foreign_rows/test_programs.py
+++ b/tests/foreign_rows/test_programs.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from adapter.test_target_client import REPORT
 from endivetally.soak.deployment import SoakDeployment
 from endivetally_held.discovery import RENEW_INTERVAL_S
 from endivetally_platform.http_client import HttpClient
@@ -115,6 +116,7 @@
         await asyncio.sleep(1)
         await check_service(deployment)
         await check_growth(deployment)
+    check_log_lines(tmp_path)
 
 
 @pytest.mark.parametrize('rows', [1, 200])
@@ -135,7 +137,8 @@
     b'[' * DEPTH,
     b'{"service": %s}' % nest(DEPTH // 2).encode(),
     b'{"service": "pool", "state": "odd"}',
-    json.dumps({'service': 'pool', 'state': 's' * 50_000}).encode(),
+    json.dumps({**REPORT, 'state': 's' * 50_000}).encode(),
+    json.dumps({**REPORT, 'address': f'{"a" * 50_000}:1'}).encode(),
 ]
 
 
@@ -150,6 +153,7 @@
                 assert response.status == 200
             await client.close()
         await check_service(deployment)
+    check_log_lines(tmp_path)
 
 
 async def test_agents_whose_rows_are_overwritten_stay_in_use(tmp_path):
