Show what a row costs that is nested outside its base64

Cause: a row of the store whose value, key or any other field is nested 1,000 deep or more ends the decoding of the whole answer. The users' page says that a value is base64, so a sound store can't send it; contents that are nested within base64 were handled. msgspec, orjson and the standard library all refuse such a document, so there is nothing to fall back to.

--- a/tests/adapter/test_store_rows.py
+++ b/tests/adapter/test_store_rows.py
@@ -1,24 +1,35 @@
 """Malformed rows in answers of the store hide no valid ones."""
 
+import asyncio
 import base64
 import json
+from collections import Counter
 
 import pytest
 from adapter.servers import serve
+from endivetally_core.events import Event
+from endivetally_core.events import EventLog
+from endivetally_held.discovery import RowWatcher
 from endivetally_platform.http_client import HttpClient
 from endivetally_platform.store import StoreTable
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+# Bounds a test that hangs.
+LONGEST_WAIT_S = 30
+
 
 class RowsHandler(RequestHandler):
-    """Sends a prepared answer of the store."""
+    """Sends a prepared answer of the store, or several in turn."""
 
     def initialize(self, body):
         self.body = body
 
     def get(self):
-        self.finish(self.body)
+        if isinstance(self.body, str):
+            self.finish(self.body)
+            return
+        self.finish(self.body.pop(0) if len(self.body) > 1 else self.body[0])
 
 
 def store_row(**fields):
@@ -70,3 +81,32 @@
     assert [(row.key, row.content) for row in await read_rows(body)] == [
         ('agents/b', b'\xff')
     ]
+
+
+@pytest.mark.parametrize('where', ['value', 'key', 'other', None])
+async def test_watcher_goes_on_after_an_answer_that_is_nested_too_deeply(where):
+    """A store that sends base64 has no such rows; one without them must be followed."""
+    row = json.dumps(store_row(**({where: '@'} if where else {})))
+    nested = row.replace('"@"', '[' * 50_000 + ']' * 50_000) if where else '[' * 50_000
+    bodies = [
+        f'{{"ver": 9, "rows": [{nested}]}}',
+        json.dumps({'ver': 10, 'rows': [store_row(key='agents/b')]}),
+    ]
+    events = EventLog('test', 'test', write=lambda lines: None)
+    copies = []
+    application = Application([('/v1/rows-get', RowsHandler, {'body': bodies})])
+    async with serve(application) as address:
+        client = HttpClient(address)
+        watcher = RowWatcher(
+            StoreTable(client, 'own'),
+            '',
+            lambda rows: copies.append((list(rows), Counter(events.event_counts))),
+            events,
+        )
+        watching = asyncio.create_task(watcher.run())
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            while not copies:
+                await asyncio.sleep(0.01)
+        watching.cancel()
+        await client.close()
+    assert copies[0] == (['agents/b'], Counter([Event.TABLE_UNAVAILABLE]))
