Escape and bound the values of metrics' labels

Seen: nothing in a deployment; found by following what other writers choose. A row of an agent whose data centre has a quote, a line break or a backslash in its name makes the metrics page of each entry unreadable for a scraper.

Cause: aioprometheus writes the values of labels as they are.

Change: values are escaped as the text format requires and cut to 200 characters, where the labels of all metrics are put together.

--- a/libs/endivetally-core/src/endivetally_core/metrics.py
+++ b/libs/endivetally-core/src/endivetally_core/metrics.py
@@ -18,6 +18,12 @@
 
 from endivetally_core.links import LinkCounters
 
+# Longer values of labels are cut. Peers and other writers choose some of them.
+MAX_LABEL_CHARACTERS: Final = 200
+# Characters of a label value that the Prometheus text format requires to be escaped;
+# aioprometheus writes values as they are.
+_LABEL_ESCAPES: Final = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
 SECONDS_BUCKETS: Final = (
     0.005,
     0.01,
@@ -67,8 +73,8 @@
     label_names: tuple[str, ...] = ()
 
     def pair_labels(self, values: Iterable[str]) -> dict[str, str]:
-        """Map the label names to their values."""
-        return dict(zip(self.label_names, values, strict=True))
+        """Map the label names to their values, as they are written."""
+        return dict(zip(self.label_names, map(_escape_label, values), strict=True))
 
 
 class LabelledCounter:
@@ -252,6 +258,10 @@
         ]
 
 
+def _escape_label(label_value: str) -> str:
+    return label_value[:MAX_LABEL_CHARACTERS].translate(_LABEL_ESCAPES)
+
+
 def _set_samples(
     collector: collectors.Counter | collectors.Gauge,
     definition: MetricDefinition,
--- a/tests/core/test_metrics.py
+++ b/tests/core/test_metrics.py
@@ -81,3 +81,20 @@
 
     def test_content_type_is_plain_text(self):
         assert render_metrics(Metrics()).content_type.startswith('text/plain')
+
+
+@pytest.mark.parametrize(
+    ('label', 'written'),
+    [
+        ('a"b', r'a\"b'),
+        ('a\nx_total 7', r'a\nx_total 7'),
+        ('a\\', r'a\\'),
+        ('x' * 100_000, 'x' * 200),
+    ],
+)
+def test_label_values_of_other_writers_leave_the_page_readable(label, written):
+    """A row of an agent with such a data centre broke the page of each entry."""
+    metrics = Metrics()
+    counter = metrics.new_counter(MetricDefinition('x_total', 'Text.', ('name',)))
+    counter.increment(label)
+    assert _render_lines(metrics)[2:] == [f'x_total{{name="{written}"}} 1']
