Let keyed daemons go on beside odd rows of entries

With twelve odd rows under entry/ (nested 50,000 deep, ports of 70,000 and infinite, bytes that are no MessagePack), two entries that started again were not ready within 30 s.

Cause: scan_entries raised the decoder's error for the first malformed row. An entry's periodic task expects errors of the product only, and ended for good: it followed neither configuration nor shards nor entries. Agents counted the table as unavailable.

Change: rows that are malformed, or name another entry than their key, are left out with one log line. As a list may lack an entry, an end is proven by the entry's own row alone, and a malformed one proves nothing: otherwise a key of a live owner could have run again. An entry whose row was replaced is fenced, as the condition of its writes can't hold any more.

--- a/libs/endivetally-entry/src/endivetally_entry/recovery.py
+++ b/libs/endivetally-entry/src/endivetally_entry/recovery.py
@@ -219,16 +219,16 @@
     async def _check_owner_ended(self, owner: str) -> None:
         """Check that a former owner has ended, as a live one must not be fenced.
 
-        :raises RequestError: when the former owner is live, or the table service is
+        :raises RequestError: when the former owner may be live, or the table service is
             unavailable.
         """
         if owner in self._ended_owners:
             return
         try:
-            live = await self._entry_registry.list_live_entries()
+            has_ended = await self._entry_registry.has_ended(owner)
         except TableUnavailable as error:
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN, 'table is down') from error
-        if any(identity.incarnation == owner for identity in live):
+        if not has_ended:
             raise RequestError(
                 ErrorKind.OUTCOME_UNKNOWN,
                 'a former owner of the key does not answer',
--- a/libs/endivetally-table/src/endivetally_table/directory.py
+++ b/libs/endivetally-table/src/endivetally_table/directory.py
@@ -16,6 +16,7 @@
 from typing import Final
 
 import msgspec
+from endivetally_core.errors import MalformedMessage
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import EntryIdentity
@@ -226,7 +227,10 @@
 
     async def _read_fenced_by(self, dead: str) -> str:
         row = await self._table.read(entry_key(dead))
-        return '' if row is None else decode_entry(row).fenced_by
+        try:
+            return '' if row is None else decode_entry(row).fenced_by
+        except MalformedMessage:
+            return ''
 
     def _keep_newest(self, shard_map: ShardMap) -> ShardMap:
         if shard_map.version > self._newest_map.version:
--- a/libs/endivetally-table/src/endivetally_table/entries.py
+++ b/libs/endivetally-table/src/endivetally_table/entries.py
@@ -5,11 +5,14 @@
 version `LIVE_VERSION`, and every write by the entry requires that version.
 """
 
+import logging
 from typing import Final
 from typing import Literal
 
 import msgspec
+from endivetally_core.decoding import DECODE_ERRORS
 from endivetally_core.errors import IncarnationFenced
+from endivetally_core.errors import MalformedMessage
 from endivetally_core.errors import TableConflict
 from endivetally_core.errors import TableUnavailable
 from endivetally_core.joining import EntryIdentity
@@ -40,6 +43,7 @@
 
 
 _decoder = msgspec.msgpack.Decoder(EntryRow)
+_log = logging.getLogger(__name__)
 
 
 def entry_key(incarnation: str) -> str:
@@ -64,17 +68,37 @@
 def decode_entry(row: Row) -> EntryRow:
     """Decode the content of an entry's row.
 
-    :raises msgspec.DecodeError: when the content is not an entry.
+    :raises MalformedMessage: when the content is not the entry of the row's key.
     """
-    return _decoder.decode(row.content)
+    try:
+        entry = _decoder.decode(row.content)
+    except DECODE_ERRORS as error:
+        raise MalformedMessage(f'{row.key}: {error}') from error
+    if row.key != entry_key(entry.identity.incarnation):
+        raise MalformedMessage(f'{row.key}: names {entry.identity.incarnation}')
+    return entry
 
 
 async def scan_entries(table: Table) -> list[EntryRow]:
     """Return the rows of all entries, whatever their state.
 
+    Malformed rows are left out, with one log line for all of them. An entry that is
+    missing may therefore be live; see `EntryRegistry.has_ended`.
+
     :raises TableUnavailable: when the service does not respond.
     """
-    return [decode_entry(row) for row in await table.scan(ENTRY_PREFIX)]
+    entries = []
+    errors = []
+    for row in await table.scan(ENTRY_PREFIX):
+        try:
+            entries.append(decode_entry(row))
+        except MalformedMessage as error:
+            errors.append(error)
+    if errors:
+        _log.warning(
+            'rows of entries ignored: %d, the first %s', len(errors), errors[0]
+        )
+    return entries
 
 
 class EntryRegistry:
@@ -129,6 +153,22 @@
         """
         return await scan_entries(self._table)
 
+    async def has_ended(self, incarnation: str) -> bool:
+        """Return whether an entry is known to have ended.
+
+        Rows are deleted some time after their entry has ended. A malformed row proves
+        nothing.
+
+        :raises TableUnavailable: when the service does not respond.
+        """
+        row = await self._table.read(entry_key(incarnation))
+        if row is None:
+            return True
+        try:
+            return decode_entry(row).state != 'live'
+        except MalformedMessage:
+            return False
+
     async def _write(self, row: EntryRow, condition: Condition) -> None:
         transaction = Transaction((condition,), (entry_put(row),))
         attempts_left = COMMIT_ATTEMPTS
@@ -149,7 +189,11 @@
         stored_row = await self._table.read(key)
         if stored_row is None:
             return False
-        stored_entry = decode_entry(stored_row)
+        try:
+            stored_entry = decode_entry(stored_row)
+        except MalformedMessage as error:
+            # The condition of every further write requires the row that was replaced.
+            raise IncarnationFenced(key) from error
         if stored_entry == row:
             return True
         if stored_entry.state == 'live':
