Go on reading the table after an unexpected error

Seen: a keyed entry whose table had a malformed shard map for seven seconds never read the next configuration, after the map was mended.

Cause: the periodic task of an entry that reads configuration, shards and entries expected errors of the product only; the decoder's ended it for good.

Result: test_an_odd_shard_map_stops_no_entry_for_good failed before (not ready within 30 s) and passes.

--- a/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
+++ b/libs/endivetally-entry/src/endivetally_entry/lifecycle.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from endivetally_core.errors import EndivetallyError
 from endivetally_core.errors import IncarnationFenced
 from endivetally_core.errors import LinkClosed
 from endivetally_core.errors import TableUnavailable
@@ -174,7 +173,8 @@
                 await self._refresh()
             except TableUnavailable:
                 _log.debug('refresh postponed: the table service is unavailable')
-            except EndivetallyError:
+            except Exception:
+                # The next refresh may succeed, and nothing else reads the table.
                 _log.exception('refresh of configuration, shards and entries failed')
 
     async def _refresh(self) -> None:
--- a/tests/foreign_rows/test_keyed.py
+++ b/tests/foreign_rows/test_keyed.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from endivetally.capacity.fleets import running_fleet
+from endivetally_config.store import ConfigStore
 from endivetally_core.errors import IncarnationFenced
 from endivetally_core.joining import Address
 from endivetally_core.joining import EntryIdentity
@@ -15,6 +16,7 @@
 from endivetally_table.entries import entry_key
 from endivetally_table.http import HttpTable
 from endivetally_table.memory import MemoryTable
+from endivetally_table.shards import SHARDS_KEY
 from endivetally_table.table import Put
 from endivetally_table.table import Transaction
 
@@ -69,6 +71,21 @@
         assert fleet.crashed == []
 
 
+async def test_an_odd_shard_map_stops_no_entry_for_good():
+    """The entry followed nothing any more after the map was mended."""
+    async with running_fleet(entries=1, workers=1) as fleet, open_table(fleet) as table:
+        mended = await table.read(SHARDS_KEY)
+        for content in (b'odd', mended.content):
+            await table.commit(Transaction((), (Put(SHARDS_KEY, content),)))
+            # Longer than the interval at which entries read the table.
+            await asyncio.sleep(7)
+        store = ConfigStore(table)
+        stored = await store.read()
+        await store.replace(stored.config, stored.version, 'test')
+        await fleet.wait_until_ready(version=2)
+        assert fleet.crashed == []
+
+
 @pytest.mark.parametrize('content', CONTENTS.values(), ids=CONTENTS)
 async def test_an_odd_row_hides_no_entry_and_proves_no_end(content, caplog):
     table = MemoryTable()
