Count the store's versions over all tables in its stand-in

Cause: the users' page says that a row's version is taken from a single counter that increases with each transaction. The stand-in counted the versions of each table apart, and gave rows a count of their own writes. So a wrong set of emptied data centres had the version of a right one in every test, and agents ignored it.

The random test of the bound of evacuations writes rows of another table, and withdraws evacuations and requests them again within seconds.

--- a/libs/endivetally-table/src/endivetally_table/memory.py
+++ b/libs/endivetally-table/src/endivetally_table/memory.py
@@ -158,12 +158,16 @@
             return
         if key not in self._rows:
             insort(self._keys, key)
-        self._rows[key] = Row(key, content, self._version(key) + 1)
+        self._rows[key] = Row(key, content, self._next_version(key))
 
     def _delete(self, key: str) -> None:
         if self._rows.pop(key, None):
             del self._keys[bisect_left(self._keys, key)]
 
+    def _next_version(self, key: str) -> int:
+        """Return the version of a row that is written now."""
+        return self._version(key) + 1
+
     def _version(self, key: str) -> int:
         row = self._rows.get(key)
         return row.version if row else 0
--- a/tests/held/evacuation_cluster.py
+++ b/tests/held/evacuation_cluster.py
@@ -6,6 +6,7 @@
 from endivetally_held.discovery import RowWatcher
 from endivetally_held.evacuation import EvacuationReader
 from endivetally_table.memory_feed import MemoryFeedTable
+from endivetally_table.memory_feed import VersionCounter
 from endivetally_table.table import Put
 from endivetally_table.table import Transaction
 from held.cluster import Cluster
@@ -55,7 +56,10 @@
     def __init__(self, enabled=('entry', 'agent'), **options):
         super().__init__(**options)
         self.enabled = enabled
-        self.operator_table = MemoryFeedTable()
+        versions = VersionCounter()
+        self.operator_table = MemoryFeedTable(versions)
+        # Its changes increase the store's version, and are not in the operators' feed.
+        self.own_table = MemoryFeedTable(versions)
         self.cut_from_store = set()
         self.slow_at_store = set()
         self.tables = {}
--- a/tests/held/test_evacuation_bound.py
+++ b/tests/held/test_evacuation_bound.py
@@ -5,6 +5,8 @@
 
 import pytest
 from differential.clock import run_virtually
+from endivetally_table.table import Put
+from endivetally_table.table import Transaction
 from held.cluster import job
 from held.evacuation_cluster import EVACUATION_S
 from held.evacuation_cluster import EvacuationCluster
@@ -67,6 +69,14 @@
 )
 
 
+async def renew_rows(cluster, rng):
+    """Write rows of entries, which gives sets of later reads a higher version."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.1, 1))
+        put = Put('entries/entry-0', b'{}')
+        await cluster.own_table.commit(Transaction((), (put,)))
+
+
 async def inject_faults(cluster, rng):
     injections = []
     while True:
@@ -103,7 +113,10 @@
 
 @pytest.mark.parametrize('seed', range(8))
 def test_no_task_starts_in_an_emptied_data_centre_after_the_bound(seed):
-    """All agents reach the store; entries may not, and links may be cut."""
+    """All agents reach the store; entries may not, and links may be cut.
+
+    Evacuations are also withdrawn and requested again within seconds.
+    """
 
     async def run():
         rng = random.Random(seed)
@@ -111,7 +124,7 @@
         await cluster.start()
         tasks = [
             asyncio.ensure_future(each(cluster, rng))
-            for each in (inject_faults, send_jobs)
+            for each in (inject_faults, send_jobs, renew_rows)
         ]
         spans = []
         for number in range(PERIODS):
@@ -119,6 +132,11 @@
                 # Agents then have to read the rows themselves.
                 cluster.cut_from_store.update(cluster.entry_names)
             data_centre = rng.choice(('north', 'south'))
+            for _ in range(rng.choice((0, 1, 2))):
+                await cluster.evacuate(data_centre)
+                await asyncio.sleep(rng.uniform(0, 3))
+                await cluster.withdraw(data_centre)
+                await asyncio.sleep(rng.uniform(0, 3))
             await cluster.evacuate(data_centre)
             emptied_at = cluster.loop.time()
             await asyncio.sleep(PERIOD_S)
