Let an agent find that its row was replaced

While one entry is connected to the agent, entries that start don't know it, however long its row is gone.

Change: once a minute, with a jitter, the agent reads its row and writes it again if the content differs. A write a minute would wake the feeds of all entries; 1,400 agents make 23 reads a second of 2,000 that the store allows.

--- a/libs/endivetally-held/src/endivetally_held/discovery.py
+++ b/libs/endivetally-held/src/endivetally_held/discovery.py
@@ -4,13 +4,14 @@
 all rows once and then follow the changes. The row of an agent is only a hint where to
 connect; the agent that responds there identifies itself. Entries renew their rows, so
 that each knows which entries share the agents, and each connects only to the agents
-that rank it among their first few entries. An agent renews its row only while no entry
-is connected to it.
+that rank it among their first few entries. An agent writes its row again only while no
+entry is connected to it, or when another writer has replaced the row.
 """
 
 import asyncio
 import itertools
 import math
+import random
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -44,6 +45,11 @@
 # is ignored.
 RENEW_INTERVAL_S: Final = 10
 STALE_AFTER_S: Final = 25
+# An agent checks at the first interval, with this jitter, whether an entry is there,
+# and at each sixth check whether its row is still there. Once a minute, 1,400 agents
+# make 23 reads a second.
+CHECK_JITTER: Final = (0.75, 1.25)
+CHECKS_PER_READ: Final = 6
 # A lost connection to the table is detected within this time plus the response timeout;
 # a new configuration must be in force within 2 s.
 FEED_POLL_WAIT_S: Final = 1.2
@@ -100,18 +106,38 @@
     events: EventLog,
     is_connected: Callable[[], bool],
 ) -> None:
-    """Write the row of an agent, and again while no entry is connected.
+    """Write the row of an agent, and again when another writer has replaced it.
 
-    Another writer may have replaced or deleted the row.
+    It is also written again while no entry is connected, whatever the reason.
 
     :param is_connected: returns whether an entry is connected to the agent.
     """
     key = f'{AGENT_PREFIX}{row.address}'
+    content = msgspec.json.encode(row)
     while True:
         await register(table, key, row, events)
-        await asyncio.sleep(RENEW_INTERVAL_S)
-        while is_connected():
-            await asyncio.sleep(RENEW_INTERVAL_S)
+        await _wait_until_lost(table, key, content, is_connected)
+
+
+async def _wait_until_lost(
+    table: FeedTable, key: str, content: bytes, is_connected: Callable[[], bool]
+) -> None:
+    """Wait until no entry is connected, or the row has another content."""
+    for count in itertools.count(1):
+        # Agents that have started together do not read the table together.
+        await asyncio.sleep(RENEW_INTERVAL_S * random.uniform(*CHECK_JITTER))
+        if not is_connected():
+            return
+        if count % CHECKS_PER_READ == 0 and await _is_replaced(table, key, content):
+            return
+
+
+async def _is_replaced(table: FeedTable, key: str, content: bytes) -> bool:
+    try:
+        row = await table.read(key)
+    except TableUnavailable:
+        return False
+    return row is None or row.content != content
 
 
 async def keep_registered(
