Leave odd rows of another writer in the soak test

Cause: the soak had no other writer in the table of agents and entries, which the users' pages allow.

Change: each 4 s on average up to 20 odd rows (empty, nested, ports of -1, 70,000 and 5,000 digits, infinite) under agents/ and entries/ for 0.2 to 3 s, in half of the cases also over the row of a machine, from a generator of their own: the other faults of a seed stay as they were.

--- a/libs/endivetally/src/endivetally/soak/run.py
+++ b/libs/endivetally/src/endivetally/soak/run.py
@@ -15,6 +15,7 @@
 from endivetally.soak.faults import HELD_COMMANDS
 from endivetally.soak.faults import LARGE_FAULTS
 from endivetally.soak.faults import Fault
+from endivetally.soak.foreign_rows import ForeignRows
 from endivetally.soak.guarantees import GuaranteeChecker
 from endivetally.soak.guarantees import get_loop_time
 from endivetally.soak.report import SoakReport
@@ -25,6 +26,8 @@
 MEAN_FAULT_INTERVAL_S: Final = 1.2
 # Mean time between evacuations, so that a data centre is in use most of the time.
 EVACUATION_INTERVAL_S: Final = 12.0
+# Mean time between rows of another writer.
+FOREIGN_ROWS_INTERVAL_S: Final = 4.0
 # One fault in five is injected several times in quick succession.
 REPEATED_SHARE: Final = 0.2
 SERIES_LENGTH: Final = 4
@@ -98,7 +101,7 @@
 async def _inject_all_faults(
     deployment: SoakDeployment, seed: int, rng: random.Random, size: SoakSize
 ) -> Counter[str]:
-    """Inject the faults of a size, and those of targets and data centres beside them.
+    """Inject the faults of a size, and those of targets, operators and other writers.
 
     Each of the latter has a generator of its own, so that the others remain those of
     the seed. Return the number of each fault.
@@ -121,6 +124,13 @@
         _inject_faults(
             deployment, random.Random(seed + 5), (CapacityChange(),), size.fault_time_s
         ),
+        _inject_faults(
+            deployment,
+            random.Random(seed + 6),
+            (ForeignRows(),),
+            size.fault_time_s,
+            FOREIGN_ROWS_INTERVAL_S,
+        ),
     )
     return sum(counts, start=Counter())
 
