--- a/libs/endivetally/src/endivetally/soak/foreign_rows.py
+++ b/libs/endivetally/src/endivetally/soak/foreign_rows.py
@@ -18,7 +18,9 @@
 # Share of the writes that also overwrite the row of an agent or of an entry.
 OVERWRITING_SHARE: Final = 0.5
 _DEPTH: Final = 50_000
-_ADDRESS: Final = b'{"name": "x", "incarnation": "x", "data_centre": "", "address": %b}'
+_AGENT_ROW: Final = (
+    b'{"name": "x", "incarnation": "x", "data_centre": "", "address": %b}'
+)
 CONTENTS: Final = (
     b'',
     b'\xff',
@@ -27,10 +29,10 @@
     b'1e999',
     b'{}',
     b'[' * _DEPTH + b']' * _DEPTH,
-    _ADDRESS % b'{"host": "127.0.0.1", "port": -1}',
-    _ADDRESS % b'{"host": "127.0.0.1", "port": 70000}',
-    _ADDRESS % (b'{"host": "127.0.0.1", "port": %b}' % (b'9' * 5000)),
-    _ADDRESS % b'{"host": null, "port": 7720}',
+    _AGENT_ROW % b'{"host": "127.0.0.1", "port": -1}',
+    _AGENT_ROW % b'{"host": "127.0.0.1", "port": 70000}',
+    _AGENT_ROW % (b'{"host": "127.0.0.1", "port": %b}' % (b'9' * 5000)),
+    _AGENT_ROW % b'{"host": null, "port": 7720}',
 )
 
 
