--- a/tests/foreign_rows/test_keyed.py
+++ b/tests/foreign_rows/test_keyed.py
@@ -8,13 +8,16 @@
 from endivetally.capacity.fleets import running_fleet
 from endivetally_config.store import ConfigStore
 from endivetally_core.errors import IncarnationFenced
+from endivetally_core.errors import TableConflict
 from endivetally_core.joining import Address
 from endivetally_core.joining import EntryIdentity
 from endivetally_entry.lifecycle import REFRESH_INTERVAL_S
+from endivetally_table.directory import ShardDirectory
 from endivetally_table.entries import ENTRY_PREFIX
 from endivetally_table.entries import EntryRegistry
 from endivetally_table.entries import EntryRow
 from endivetally_table.entries import entry_key
+from endivetally_table.entries import live_condition
 from endivetally_table.http import HttpTable
 from endivetally_table.memory import MemoryTable
 from endivetally_table.shards import SHARDS_KEY
@@ -22,6 +25,7 @@
 from endivetally_table.table import Transaction
 
 IDENTITY = EntryIdentity('entry-9', 'entry-9.1', 'dc-1', Address('127.0.0.1', 1))
+JOINING = EntryIdentity('entry-8', 'entry-8.1', 'dc-1', Address('127.0.0.1', 1))
 DEPTH = 50_000
 # Longer than the interval at which entries read the table, with its jitter.
 REFRESHED_S = REFRESH_INTERVAL_S * 1.4
@@ -110,3 +114,21 @@
     await table.commit(Transaction((), (Put(entry_key('entry-9.1'), b'odd'),)))
     with pytest.raises(IncarnationFenced):
         await registry.retire(IDENTITY)
+
+
+@pytest.mark.parametrize('contents', [(b'odd',), (None, b'odd')])
+async def test_an_entry_whose_row_is_replaced_shares_no_shards_with_another(contents):
+    """Its shards went to an entry that joined, while its own writes were accepted."""
+    table = MemoryTable()
+    for identity in (IDENTITY, JOINING):
+        await EntryRegistry(table).register(identity)
+    directory = ShardDirectory(table, retention_s=900)
+    await directory.join(IDENTITY)
+    key = entry_key(IDENTITY.incarnation)
+    for content in contents:
+        await table.commit(Transaction((), (Put(key, content),)))
+    shard_map = await directory.join(JOINING)
+    write = Transaction((live_condition(IDENTITY.incarnation),), (Put('j', b''),))
+    if shard_map.shards_of(JOINING.incarnation):
+        with pytest.raises(TableConflict):
+            await table.commit(write)
